Add the design, the kernel and the interfaces between crates

Cause: the crates need fixed interfaces before they can be built side by side. Conclusion: policy, control, stand-ins and daemon can now be written independently.

--- /dev/null
+++ b/crates/kernel/tests/kernel.rs
@@ -0,0 +1,110 @@
+//! Guards the timer service, the start and stop order, and readiness.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jaystand_kernel::{
+    Kernel, Phase,
+    plugin::{Running, Stage, Started},
+    timer::Timer,
+};
+use prometheus::Registry;
+
+#[derive(Default)]
+struct Journal(Mutex<Vec<&'static str>>);
+
+impl Journal {
+    fn note(&self, line: &'static str) {
+        self.0.lock().expect("journal").push(line);
+    }
+}
+
+mod late {
+    use super::*;
+    jaystand_kernel::register!("late", Stage::Entry, start);
+
+    async fn start(kernel: Kernel) -> Started {
+        let journal = kernel.require::<Journal>()?;
+        journal.note("late started");
+        Ok(Running::until(async move { journal.note("late stopped") }))
+    }
+}
+
+mod early {
+    use super::*;
+    jaystand_kernel::register!("early", Stage::Admin, start);
+
+    async fn start(kernel: Kernel) -> Started {
+        let journal = kernel.require::<Journal>()?;
+        journal.note("early started");
+        kernel.lifecycle().gate("early").set(true);
+        Ok(Running::until(async move { journal.note("early stopped") }))
+    }
+}
+
+// A listener that starts before its configuration would serve errors.
+#[tokio::test(start_paused = true)]
+async fn plugins_start_by_stage_and_stop_in_reverse() {
+    let kernel = Kernel::new(Registry::new());
+    let journal = Arc::new(Journal::default());
+    kernel.provide(Arc::clone(&journal));
+    let lifecycle = kernel.lifecycle().clone();
+    let stop = async move {
+        assert!(lifecycle.not_ready().is_empty());
+        lifecycle.reached(Phase::Serving).await;
+    };
+    kernel
+        .run(Duration::from_secs(1), Duration::from_secs(1), stop)
+        .await
+        .expect("plug-ins start");
+    let lines = journal.0.lock().expect("journal").clone();
+    assert_eq!(
+        lines,
+        [
+            "early started",
+            "late started",
+            "late stopped",
+            "early stopped"
+        ]
+    );
+    assert_eq!(kernel.lifecycle().not_ready(), ["shutting down"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_missing_service_is_named() {
+    let kernel = Kernel::new(Registry::new());
+    let error = kernel
+        .run(Duration::ZERO, Duration::ZERO, async {})
+        .await
+        .expect_err("no journal");
+    assert!(format!("{error:?}").contains("Journal"), "{error:?}");
+}
+
+// A process that was paused must not replay every tick it slept through.
+#[tokio::test(start_paused = true)]
+async fn missed_ticks_are_merged() {
+    let timer = Timer::new();
+    let mut ticks = timer.every(Duration::from_millis(10));
+    tokio::time::sleep(Duration::from_millis(105)).await;
+    let mut seen = 0;
+    while tokio::time::timeout(Duration::from_millis(1), ticks.tick())
+        .await
+        .is_ok()
+    {
+        seen += 1;
+    }
+    assert_eq!(seen, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wake_up_comes_at_its_time_and_once() {
+    let timer = Timer::new();
+    let mut later = timer.at(Duration::from_millis(50));
+    let mut sooner = timer.at(Duration::from_millis(20));
+    assert!(sooner.tick().await >= Duration::from_millis(20));
+    assert!(later.tick().await >= Duration::from_millis(50));
+    let again = tokio::time::timeout(Duration::from_secs(5), later.tick()).await;
+    assert!(again.is_err());
+}
--- /dev/null
+++ b/crates/policy/src/chain.rs
@@ -0,0 +1,104 @@
+//! The prefix chain: one hash for each nested level of a prompt, equal for equal prefixes of one team, model, adapter and
+//! weights version, and different for all others.
+
+use smallvec::SmallVec;
+
+/// Levels of a chain. Text past the last level does not take part in placement.
+pub const MAX_LEVELS: usize = 64;
+
+const INLINE_LEVELS: usize = 16;
+
+jaystand_types::common! { value
+    /// The identity that separates cache entries: no two teams, models, adapters or weights versions share one.
+    pub struct Salt(u64);
+}
+
+/// The hashes of a prompt's nested prefixes, shallowest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chain {
+    levels: SmallVec<[Level; INLINE_LEVELS]>,
+}
+
+jaystand_types::common! { value
+    /// One level: the hash of the prompt up to and with this level, and the bytes up to its end.
+    pub struct Level {
+        /// Hash of the prefix that ends here.
+        pub hash: u64,
+        /// Length of that prefix in bytes.
+        pub end: u32,
+    }
+}
+
+impl Salt {
+    /// The salt of a team's requests to one model, adapter and weights version. An empty adapter means none.
+    #[must_use]
+    pub fn new(team: &str, model: &str, adapter: &str, weights_version: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key("jaystand prefix chain salt v1");
+        for part in [team, model, adapter, weights_version] {
+            // The length separates ("ab", "c") from ("a", "bc").
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        Self(truncate(hasher))
+    }
+
+    /// The salt as the engine's `x-cache-salt` carries it.
+    #[must_use]
+    pub fn render(self) -> String {
+        format!("{:016x}", self.0)
+    }
+}
+
+impl Chain {
+    /// Hashes the segments (the messages of a conversation), cutting those longer than `piece_bytes`.
+    pub fn new<'a>(
+        salt: Salt,
+        piece_bytes: usize,
+        segments: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut chain = Self::default();
+        for segment in segments {
+            // A message without text still counts: its position changes the prompt.
+            if segment.is_empty() {
+                chain.push(salt, segment);
+            }
+            for piece in segment.chunks(piece_bytes.max(1)) {
+                chain.push(salt, piece);
+            }
+        }
+        chain
+    }
+
+    /// The levels, shallowest first.
+    #[must_use]
+    pub fn levels(&self) -> &[Level] {
+        &self.levels
+    }
+
+    fn push(&mut self, salt: Salt, piece: &[u8]) {
+        if self.levels.len() == MAX_LEVELS {
+            return;
+        }
+        let (parent, start) = self
+            .levels
+            .last()
+            .map_or((salt.0, 0), |level| (level.hash, level.end));
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&parent.to_le_bytes());
+        hasher.update(piece);
+        self.levels.push(Level {
+            hash: truncate(hasher),
+            end: start.saturating_add(u32::try_from(piece.len()).unwrap_or(u32::MAX)),
+        });
+    }
+}
+
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "a finished hasher has no further use"
+)]
+fn truncate(hasher: blake3::Hasher) -> u64 {
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,18 @@
+//! Identifiers, checked values and common derives shared by every jaystand crate.
+//!
+//! The crate performs no I/O and starts no runtime, so that the pure decision crates can depend on it.
+
+mod id;
+mod macros;
+mod outcome;
+mod secret;
+
+pub use id::{
+    DataCentre, HostName, Incarnation, KindName, Model, Moment, RequestId, ServerId, ServerName,
+    TeamId, Version, parse_request_id, render_request_id,
+};
+pub use outcome::{Outcome, RepeatRule, UnknownName, Urgency};
+pub use secret::Secret;
+
+#[doc(hidden)]
+pub use serde;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! See the crate README.
