Add the request router

Cause: the daemon needs the facade of the policy crate to be built against. Change: router::Router with configure, handle, explain and next_wake. Rendezvous placement over the prefix chain scored by expected first token, adaptive windows, queues by urgency with ageing and team fairness, team limits, learned deadlines, slow-server detection, retry and hedge budgets, resume, refusals with Retry-After and the three baselines. The property test runs 300 random event sequences without a lost or doubled end, a wrong not_run, a second attempt of a once request or a leaked slot.

--- /dev/null
+++ b/crates/policy/src/figure.rs
@@ -0,0 +1,57 @@
+//! Conversions between durations, counts and the floating-point figures that estimates work with.
+
+use std::time::Duration;
+
+/// Longest duration that a figure converts to; it keeps later additions far from overflow.
+const LONGEST: Duration = Duration::from_secs(86_400);
+
+/// Seconds as a duration; negative and undefined figures become zero.
+pub(crate) fn duration(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).map_or(LONGEST, |value| value.min(LONGEST))
+}
+
+/// A count as a figure.
+pub(crate) fn count(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+/// A figure rounded up to a count.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "float casts saturate, which is the wanted result"
+)]
+pub(crate) fn ceil(value: f64) -> usize {
+    value.max(0.0).ceil() as usize
+}
+
+/// A figure rounded down to a count.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "float casts saturate, which is the wanted result"
+)]
+pub(crate) fn floor(value: f64) -> u32 {
+    value.max(0.0) as u32
+}
+
+/// The remainder of a number by a length, 0 when the length is.
+pub(crate) fn index(number: u64, length: usize) -> usize {
+    let length = u64::try_from(length).unwrap_or(u64::MAX);
+    let remainder = number.checked_rem(length).unwrap_or(0);
+    usize::try_from(remainder).unwrap_or(0)
+}
+
+/// Mixes two hashes into one whose bits all depend on both.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let product = u128::from(a ^ 0x9E37_79B9_7F4A_7C15) * u128::from(b | 1);
+    #[allow(
+        clippy::cast_possible_truncation,
+        reason = "both halves are folded together"
+    )]
+    let folded = (product as u64) ^ ((product >> 64) as u64);
+    folded.wrapping_mul(0xD6E8_FEB8_6659_FD93)
+}
+
+/// Part of a prompt that is presumed cached where no better figure exists.
+pub(crate) const HELD_PRESUMED: f64 = 0.5;
--- /dev/null
+++ b/crates/policy/src/heat.rs
@@ -0,0 +1,77 @@
+//! How hot each prefix level is: the requests that it keeps running at once over the whole deployment.
+
+use std::num::NonZeroUsize;
+
+use jaystand_types::Moment;
+use lru::LruCache;
+
+use crate::{chain::Level, figure, observation::LevelHash};
+
+const CAPACITY: NonZeroUsize = NonZeroUsize::new(16_384).expect("positive");
+/// Time over which demand is averaged: demand swings within seconds, and a shorter time measures noise.
+const HORIZON: f64 = 3.0;
+/// Part of a server's slots that one prefix may fill before it is spread over one more server.
+const FILL: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counter {
+    /// Service seconds, decayed.
+    work: f64,
+    at: Moment,
+}
+
+impl Counter {
+    fn decayed(self, now: Moment) -> f64 {
+        self.work * (-now.saturating_sub(self.at).as_secs_f64() / HORIZON).exp()
+    }
+}
+
+/// The measured heat of levels.
+pub(crate) struct Heat {
+    counters: LruCache<u64, Counter, LevelHash>,
+}
+
+impl Heat {
+    pub(crate) fn new() -> Self {
+        Self {
+            counters: LruCache::with_hasher(CAPACITY, LevelHash::default()),
+        }
+    }
+
+    /// Adds a request that keeps a slot for that many seconds. A level is measured only when the one above it
+    /// is spread over several servers: below a cold level nothing needs to be spread.
+    pub(crate) fn add(&mut self, now: Moment, levels: &[Level], seconds: f64, scale: Scale) {
+        for level in levels {
+            let counter = self
+                .counters
+                .get_or_insert_mut(level.hash, Counter::default);
+            let work = counter.decayed(now) + seconds;
+            *counter = Counter { work, at: now };
+            if scale.servers(work) < 2 {
+                return;
+            }
+        }
+    }
+
+    /// The number of servers that a level needs.
+    pub(crate) fn servers(&self, now: Moment, level: &Level, scale: Scale) -> usize {
+        let counter = self.counters.peek(&level.hash);
+        counter.map_or(1, |counter| scale.servers(counter.decayed(now)))
+    }
+}
+
+/// What turns this daemon's measured work into a number of servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scale {
+    /// Daemons that see a like part of the traffic.
+    pub(crate) daemons: f64,
+    /// Slots of a typical server.
+    pub(crate) slots: f64,
+}
+
+impl Scale {
+    fn servers(self, work: f64) -> usize {
+        let running = work / HORIZON * self.daemons;
+        figure::ceil(running / (self.slots * FILL)).max(1)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,16 +3,38 @@
 //! The crate has no clock, runtime or socket. Callers pass `now` with each event and carry out the actions
 //! that come back, so every decision can be replayed in virtual time.
 
+mod admission;
+mod backend;
+mod budget;
 mod chain;
+mod estimate;
 mod event;
+mod figure;
+mod fleet;
+mod flight;
+mod health;
+mod heat;
+mod latency;
 pub mod load;
+mod observation;
+mod placement;
+mod progress;
+mod queue;
+mod recovery;
 pub mod request;
+pub mod router;
 pub mod server;
+mod settings;
 pub mod team;
+mod tenant;
+mod timer;
+mod window;
 
-pub use chain::{Chain, MAX_LEVELS, Salt};
+pub use chain::{Chain, Level, MAX_LEVELS, Salt};
 pub use event::{Action, Attempt, Event, Failure, Refusal};
 pub use request::Request;
+pub use router::Router;
+pub(crate) use router::{Settings, Strategy};
 
 /// The servers and limits of one configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
--- /dev/null
+++ b/crates/policy/src/progress.rs
@@ -0,0 +1,337 @@
+//! Attempts from dispatch to the end, and what each step teaches.
+
+use jaystand_types::{Incarnation, Moment, RequestId};
+
+use crate::{
+    Action, Attempt, Router, Strategy, figure,
+    flight::{Flight, Phase, Running},
+    observation::Holder,
+    placement::Choice,
+    queue,
+    timer::Due,
+};
+
+/// A cache that holds this part of what was predicted has kept the prefix.
+const KEPT_PART: f64 = 0.5;
+/// Service that a request costs its team on top of its answer, in tokens.
+const BASE_CHARGE: f64 = 32.0;
+/// Prompt tokens cost this part of an answer token: they are computed many at a time.
+const PROMPT_CHARGE: f64 = 0.02;
+
+impl Router {
+    /// Sends an attempt.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        choice: Choice,
+        hedge: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let backend = &mut self.backends[choice.server as usize];
+        let next = std::mem::take(&mut flight.next);
+        let resume = next.resume_on == Some(choice.server);
+        flight.used += 1;
+        flight.phase = Phase::Running;
+        let pending = if resume { 0.0 } else { choice.missed };
+        let running = Running {
+            number: flight.used,
+            server: choice.server,
+            detached: false,
+            sent: now,
+            ahead: backend.pending_tokens,
+            missed: choice.missed,
+            pending,
+            accepted: false,
+            first_token: false,
+            late: false,
+            latest: now,
+            long: flight.long,
+            resume,
+            observed: choice.observed,
+            unobserved_home: choice.unobserved_home,
+        };
+        flight.attempts.push(running);
+        let tokens = backend.pending_tokens + choice.missed;
+        backend.enter(now, flight.long);
+        backend.pending_tokens += pending;
+        let left = flight.request.deadline.saturating_sub(now);
+        let first_token_deadline = backend
+            .latency
+            .first_token_deadline(tokens, self.settings.first_token_floor)
+            .min(left);
+        let token_deadline = backend.latency.token_deadline(self.settings.token_floor);
+        let late = now + figure::duration(backend.latency.late_first_token(tokens));
+        self.timers.push(late, Due::Late(id, running.number));
+        let class = queue::class(flight.request.urgency);
+        if flight.charged == 0.0 {
+            flight.charged = flight.predicted
+                + BASE_CHARGE
+                + PROMPT_CHARGE * f64::from(flight.request.prompt_tokens);
+            self.tenants.advance(flight.member.team);
+            self.tenants.charge(flight.member.team, flight.charged);
+        }
+        actions.push(Action::Dispatch {
+            request: id,
+            attempt: running.number,
+            server: choice.server,
+            priority: priority(self.settings.strategy, class),
+            first_token_deadline,
+            token_deadline,
+            resume,
+            fresh_connection: next.fresh,
+            hedge,
+        });
+    }
+
+    /// The head of a response has arrived.
+    pub(crate) fn accepted(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        attempt: Attempt,
+        cached_tokens: u32,
+        incarnation: Incarnation,
+    ) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let prompt = f64::from(flight.request.prompt_tokens);
+        let Some(running) = flight.running_mut(attempt) else {
+            return;
+        };
+        running.accepted = true;
+        running.latest = now;
+        if running.detached {
+            return;
+        }
+        let backend = &mut self.backends[running.server as usize];
+        backend.observe_incarnation(incarnation);
+        backend.strikes = 0;
+        if running.resume {
+            return;
+        }
+        let missed = (prompt - f64::from(cached_tokens)).max(0.0);
+        let presumed = prompt - running.missed;
+        let held = f64::from(cached_tokens) >= KEPT_PART * presumed;
+        backend.pending_tokens = (backend.pending_tokens + missed - running.pending).max(0.0);
+        running.pending = missed;
+        running.missed = missed;
+        let (server, epoch, observed) = (running.server, backend.epoch, running.observed);
+        let unobserved_home = running.unobserved_home;
+        if let Some(seen) = observed {
+            backend.observe_retention(now.saturating_sub(seen), held);
+        }
+        let levels = flight.request.chain.levels();
+        if unobserved_home && !levels.is_empty() && prompt > 0.0 {
+            let part = (f64::from(cached_tokens) / prompt).min(1.0);
+            self.home_held.add(part);
+        }
+        if levels.is_empty() {
+            return;
+        }
+        let scale = self.scale(&self.flights[&id].request);
+        let levels = self.flights[&id].request.chain.levels();
+        let hot = |level: &&crate::chain::Level| self.heat.servers(now, level, scale) > 1;
+        let anchor = levels.iter().take_while(hot).count();
+        let holder = Holder {
+            server,
+            epoch,
+            seen: now,
+        };
+        self.observations.record(levels, anchor, holder);
+    }
+
+    /// The first token of an attempt has arrived; attempts that raced it are cancelled.
+    pub(crate) fn first_token(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        attempt: Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = flight.running_mut(attempt) else {
+            return;
+        };
+        if running.first_token {
+            return;
+        }
+        running.first_token = true;
+        running.latest = now;
+        let mut seen = *running;
+        running.pending = 0.0;
+        if !seen.detached {
+            self.learn_first_token(now, &mut seen);
+        }
+        self.cancel_others(now, id, attempt, actions);
+    }
+
+    fn learn_first_token(&mut self, now: Moment, running: &mut Running) {
+        let backend = &mut self.backends[running.server as usize];
+        backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
+        if running.resume {
+            return;
+        }
+        let seconds = now.saturating_sub(running.sent).as_secs_f64();
+        let tokens = running.ahead + running.missed;
+        let sample = backend.slowness_sample(tokens, seconds);
+        backend.health.observe(now, sample);
+        backend.window.observe(now, sample, backend.in_flight);
+        backend.latency.observe_first_token(tokens, seconds);
+        self.eject_if_slow(now, running.server);
+    }
+
+    /// Tokens have arrived.
+    pub(crate) fn progress(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        attempt: Attempt,
+        tokens: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        self.first_token(now, id, attempt, actions);
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = flight.running_mut(attempt) else {
+            return;
+        };
+        let gap = now.saturating_sub(running.latest).as_secs_f64();
+        running.latest = now;
+        let seen = *running;
+        flight.tokens = flight.tokens.saturating_add(tokens);
+        let became_long = !seen.long && self.typical.is_long(f64::from(flight.tokens));
+        if became_long {
+            flight.long = true;
+            if let Some(running) = flight.running_mut(attempt) {
+                running.long = true;
+            }
+        }
+        if seen.detached {
+            return;
+        }
+        let backend = &mut self.backends[seen.server as usize];
+        backend.long_in_flight += u32::from(became_long);
+        if gap > 0.0 {
+            backend.latency.observe_tokens(tokens, gap);
+        }
+    }
+
+    /// The whole answer has arrived.
+    pub(crate) fn finished(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        attempt: Attempt,
+        tokens: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        self.progress(now, id, attempt, tokens, actions);
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = flight.take(attempt) else {
+            return;
+        };
+        let answer = flight.tokens;
+        let member = flight.member;
+        let correction = f64::from(answer) - flight.predicted;
+        if !running.resume && !running.detached {
+            let seconds = now.saturating_sub(running.sent).as_secs_f64();
+            let backend = &mut self.backends[running.server as usize];
+            backend.latency.observe_service(seconds);
+        }
+        self.tenants.kind_mut(member).observe_length(answer);
+        self.tenants.charge(member.team, correction);
+        self.end(now, id, &[running], actions);
+    }
+
+    /// Removes a request and frees what it held; the windows that open take waiting requests.
+    pub(crate) fn end(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        ended: &[Running],
+        actions: &mut Vec<Action>,
+    ) -> Option<Flight> {
+        let flight = self.flights.remove(&id)?;
+        if let Phase::Queued(server) = flight.phase {
+            self.unqueue(id, server);
+        }
+        let kind = self.tenants.kind_mut(flight.member);
+        kind.in_flight = kind.in_flight.saturating_sub(1);
+        for running in ended.iter().chain(&flight.attempts) {
+            self.release(now, running);
+        }
+        for running in ended.iter().chain(&flight.attempts) {
+            if !running.detached {
+                self.pump(now, running.server, actions);
+            }
+        }
+        Some(flight)
+    }
+
+    /// Counts an attempt out of its server.
+    pub(crate) fn release(&mut self, now: Moment, running: &Running) {
+        if running.detached {
+            return;
+        }
+        let backend = &mut self.backends[running.server as usize];
+        if !running.first_token {
+            backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
+        }
+        backend.leave(now, running.long);
+    }
+
+    fn cancel_others(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        winner: Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        if flight.attempts.len() < 2 {
+            return;
+        }
+        let others = flight.attempts.iter().filter(|a| a.number != winner);
+        let losers: smallvec::SmallVec<[Running; 2]> = others.copied().collect();
+        flight.attempts.retain(|a| a.number == winner);
+        flight.may_have_run = true;
+        for loser in &losers {
+            actions.push(cancellation(id, loser));
+            self.release(now, loser);
+        }
+        for loser in &losers {
+            if !loser.detached {
+                self.pump(now, loser.server, actions);
+            }
+        }
+    }
+}
+
+/// The action that cancels an attempt.
+pub(crate) fn cancellation(request: RequestId, running: &Running) -> Action {
+    Action::CancelAttempt {
+        request,
+        attempt: running.number,
+        server: running.server,
+    }
+}
+
+fn priority(strategy: Strategy, class: usize) -> u8 {
+    if strategy == Strategy::Jaystand {
+        u8::try_from(class).unwrap_or(u8::MAX)
+    } else {
+        1
+    }
+}
--- /dev/null
+++ b/crates/policy/src/window.rs
@@ -0,0 +1,62 @@
+//! The adaptive number of requests that this daemon keeps in flight on one server.
+
+use std::time::Duration;
+
+use jaystand_types::Moment;
+
+/// First-token times up to this multiple of the unloaded value let the window grow.
+const GROW_BELOW: f64 = 2.0;
+/// First-token times above this multiple make it shrink.
+const SHRINK_ABOVE: f64 = 4.0;
+const SHRINK: f64 = 0.8;
+/// One overload episode delays many answers; they count as one.
+const SHRINK_PAUSE: Duration = Duration::from_millis(250);
+
+/// The window.
+#[derive(Clone, Debug)]
+pub(crate) struct Window {
+    size: f64,
+    slots: f64,
+    shrunk: Moment,
+}
+
+impl Window {
+    /// Starts at twice this daemon's part of the slots: traffic is rarely spread evenly over daemons.
+    pub(crate) fn new(slots: u32, daemons: u32) -> Self {
+        let slots = f64::from(slots.max(1));
+        let part = 2.0 * slots / f64::from(daemons.max(1));
+        Self {
+            size: part.clamp(1.0, slots),
+            slots,
+            shrunk: Moment::ZERO,
+        }
+    }
+
+    /// Adopts a new number of slots.
+    pub(crate) fn resize(&mut self, slots: u32) {
+        self.slots = f64::from(slots.max(1));
+        self.size = self.size.clamp(1.0, self.slots);
+    }
+
+    /// Requests that may be in flight, at least one.
+    pub(crate) fn size(&self) -> f64 {
+        self.size
+    }
+
+    /// Takes in the ratio of a first-token time to its unloaded value.
+    pub(crate) fn observe(&mut self, now: Moment, ratio: f64, in_flight: u32) {
+        if ratio > SHRINK_ABOVE {
+            self.shrink(now);
+        } else if ratio < GROW_BELOW && f64::from(in_flight) * 2.0 >= self.size {
+            self.size = (self.size + 1.0 / self.size).min(self.slots);
+        }
+    }
+
+    /// The server refused or is overloaded.
+    pub(crate) fn shrink(&mut self, now: Moment) {
+        if now.saturating_sub(self.shrunk) >= SHRINK_PAUSE || self.shrunk == Moment::ZERO {
+            self.size = (self.size * SHRINK).max(1.0);
+            self.shrunk = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/properties.rs
@@ -0,0 +1,315 @@
+//! Properties of the prefix chain and of the router under random events.
+
+use std::{collections::BTreeMap, num::NonZeroU32, sync::Arc, time::Duration};
+
+use jaystand_policy::{
+    Action, Chain, Event, Failure, Fleet, Request, Router, Salt,
+    router::{Settings, Strategy as Policy},
+    server, team,
+};
+use jaystand_types::{Moment, Outcome, RepeatRule, RequestId, Urgency};
+use proptest::prelude::*;
+
+const SERVERS: u32 = 6;
+const SLOTS: u32 = 3;
+
+fn spec(id: u32) -> server::Spec {
+    server::Spec {
+        id,
+        name: format!("s{id}").into(),
+        data_centre: format!("dc{}", id % 3).into(),
+        model: "m".into(),
+        weights_version: "v1".into(),
+        service: false,
+        slots: SLOTS,
+    }
+}
+
+/// A fleet that starts with another server when shifted, so that ids change their meaning.
+fn fleet(shift: u32) -> Fleet {
+    let mut servers: Vec<_> = (0..SERVERS)
+        .map(|id| spec((id + shift) % (SERVERS + 2)))
+        .collect();
+    for (id, server) in (0..).zip(&mut servers) {
+        server.id = id;
+    }
+    Fleet {
+        servers,
+        shares: Vec::new(),
+        limits: vec![team::Limit {
+            team: "t0".into(),
+            kind: "k".into(),
+            max_in_flight: NonZeroU32::new(4),
+            requests_per_minute: None,
+        }],
+    }
+}
+
+fn settings(policy: Policy) -> Settings {
+    Settings {
+        strategy: policy,
+        data_centre: "dc0".into(),
+        queue: 20,
+        ..Settings::default()
+    }
+}
+
+fn request(id: RequestId, now: Moment, pick: u8) -> Request {
+    let salt = Salt::new("t", "m", "", "v1");
+    let texts: Vec<Vec<u8>> = (0..=pick % 5).map(|level| vec![pick % 7, level]).collect();
+    let urgency = Urgency::ALL[usize::from(pick) % 3];
+    Request {
+        id,
+        team: format!("t{}", pick % 4).into(),
+        kind: "k".into(),
+        urgency,
+        repeat: RepeatRule::ALL[usize::from(pick / 3) % 3],
+        chain: Chain::new(salt, 64, texts.iter().map(Vec::as_slice)),
+        prompt_tokens: u32::from(pick) * 10,
+        expected_tokens: if pick > 250 { 4_000 } else { 40 },
+        deadline: now + Duration::from_millis(500 + u64::from(pick) * 50),
+        first_token_target: Duration::from_secs(1),
+        servers: Arc::from((0..SERVERS).collect::<Vec<_>>()),
+    }
+}
+
+/// What the daemon and the servers know of one request.
+#[derive(Default)]
+struct Fact {
+    once: bool,
+    ended: u32,
+    live: Vec<u32>,
+    /// Attempts that may have run.
+    may_have_run: u32,
+}
+
+struct World {
+    router: Router,
+    now: Moment,
+    next: RequestId,
+    facts: BTreeMap<RequestId, Fact>,
+}
+
+impl World {
+    fn new(policy: Policy, seed: u64) -> Self {
+        let mut router = Router::new(settings(policy), seed);
+        router.configure(Moment::ZERO, fleet(0));
+        Self {
+            router,
+            now: Moment::ZERO,
+            next: 1,
+            facts: BTreeMap::new(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.check(&action);
+        }
+    }
+
+    fn check(&mut self, action: &Action) {
+        match *action {
+            Action::Dispatch {
+                request, attempt, ..
+            } => {
+                let fact = self.facts.get_mut(&request).expect("known request");
+                assert_eq!(fact.ended, 0, "an ended request is sent again");
+                assert!(
+                    !fact.live.contains(&attempt),
+                    "an attempt number is used twice"
+                );
+                if fact.once {
+                    assert!(
+                        fact.live.is_empty() && fact.may_have_run == 0,
+                        "may run twice"
+                    );
+                }
+                fact.live.push(attempt);
+            }
+            Action::CancelAttempt {
+                request, attempt, ..
+            } => {
+                let fact = self.facts.get_mut(&request).expect("known request");
+                let live = fact.live.len();
+                fact.live.retain(|known| *known != attempt);
+                fact.may_have_run += u32::from(fact.live.len() < live);
+            }
+            Action::Refuse {
+                request, outcome, ..
+            } => {
+                let fact = self.facts.get_mut(&request).expect("known request");
+                fact.ended += 1;
+                if outcome == Outcome::NotRun {
+                    let proven = fact.may_have_run == 0 && fact.live.is_empty();
+                    assert!(proven, "not_run after an attempt that may have run");
+                }
+            }
+        }
+    }
+
+    /// One random step: a new request, an event of a live attempt, or a change of the fleet.
+    fn step(&mut self, kind: u8, pick: u8) {
+        self.now += Duration::from_millis(u64::from(pick % 40));
+        match kind {
+            0..90 => self.submit(pick),
+            90..100 => self.change_fleet(pick),
+            100..110 => self.cancel(pick),
+            _ => self.advance_attempt(kind, pick),
+        }
+    }
+
+    fn submit(&mut self, pick: u8) {
+        let id = self.next;
+        self.next += 1;
+        let request = request(id, self.now, pick);
+        let once = request.repeat != RepeatRule::Repeatable;
+        self.facts.insert(
+            id,
+            Fact {
+                once,
+                ..Fact::default()
+            },
+        );
+        self.handle(Event::Submit(request));
+    }
+
+    fn cancel(&mut self, pick: u8) {
+        let open = self.facts.iter().filter(|(_, fact)| fact.ended == 0);
+        let Some(request) = open.map(|(id, _)| *id).nth(usize::from(pick % 8)) else {
+            return;
+        };
+        self.facts.get_mut(&request).expect("known request").ended += 1;
+        self.handle(Event::Cancel { request });
+    }
+
+    fn change_fleet(&mut self, pick: u8) {
+        let server = u32::from(pick) % SERVERS;
+        match pick % 5 {
+            0 => self.router.configure(self.now, fleet(u32::from(pick) % 3)),
+            1 => self.handle(Event::Leaving { server }),
+            2 => self.handle(Event::Returned { server }),
+            3 => self.handle(Event::Reachable {
+                data_centre: format!("dc{}", server % 3).into(),
+                reachable: pick.is_multiple_of(2),
+            }),
+            _ => self.handle(Event::Daemons {
+                live: u32::from(pick % 5),
+            }),
+        }
+    }
+
+    fn advance_attempt(&mut self, kind: u8, pick: u8) {
+        let live = self
+            .facts
+            .iter()
+            .flat_map(|(id, fact)| fact.live.iter().map(|n| (*id, *n)));
+        let live: Vec<_> = live.collect();
+        let Some(&(request, attempt)) = live.get(usize::from(pick) % live.len().max(1)) else {
+            return;
+        };
+        let event = match kind % 8 {
+            0 => Event::FirstToken { request, attempt },
+            1 => Event::Progress {
+                request,
+                attempt,
+                tokens: 5,
+            },
+            2 | 3 => Event::Finished {
+                request,
+                attempt,
+                tokens: 5,
+            },
+            4 => Event::Accepted {
+                request,
+                attempt,
+                cached_tokens: 5,
+                incarnation: 1,
+            },
+            5 => self.failure(
+                request,
+                attempt,
+                [Failure::NotSent, Failure::Mismatch][usize::from(pick % 2)],
+            ),
+            6 => self.failure(request, attempt, Failure::Refused { retry_after: None }),
+            _ => {
+                let kinds = [Failure::Silent, Failure::Broken, Failure::ServerError];
+                self.failure(request, attempt, kinds[usize::from(pick % 3)])
+            }
+        };
+        if let Event::Finished { .. } = event {
+            let fact = self.facts.get_mut(&request).expect("known request");
+            fact.ended += 1;
+            fact.live.retain(|known| *known != attempt);
+            fact.may_have_run += 1;
+        }
+        self.handle(event);
+    }
+
+    fn failure(&mut self, request: RequestId, attempt: u32, failure: Failure) -> Event {
+        let fact = self.facts.get_mut(&request).expect("known request");
+        fact.live.retain(|known| *known != attempt);
+        fact.may_have_run += u32::from(!failure.proves_not_run());
+        Event::Failed {
+            request,
+            attempt,
+            failure,
+        }
+    }
+
+    /// Lets time pass until nothing is left to do.
+    fn settle(&mut self) {
+        while let Some(wake) = self.router.next_wake() {
+            self.now = self.now.max(wake);
+            self.handle(Event::Tick);
+        }
+    }
+}
+
+fn policies() -> impl Strategy<Value = Policy> {
+    prop_oneof![
+        5 => Just(Policy::Jaystand),
+        1 => Just(Policy::HashOnly),
+        1 => Just(Policy::LeastLoaded),
+        1 => Just(Policy::RoundRobin),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against lost or doubled answers, wrong `not_run`, orders that may run twice, and leaked slots.
+    #[test]
+    fn every_request_ends_once(policy in policies(), seed: u64, steps in prop::collection::vec(any::<(u8, u8)>(), 1..400)) {
+        let mut world = World::new(policy, seed);
+        for (kind, pick) in steps {
+            world.step(kind, pick);
+        }
+        world.settle();
+        for (id, fact) in &world.facts {
+            prop_assert_eq!(fact.ended, 1, "request {}", id);
+        }
+        prop_assert_eq!(world.router.requests(), 0);
+        for server in 0..SERVERS {
+            prop_assert_eq!(world.router.in_flight(server), 0);
+        }
+    }
+
+    /// Guards against one team, model, adapter or weights version reading another's cache entries.
+    #[test]
+    fn identities_share_no_level(
+        one in prop::array::uniform4("[ab]{0,2}"),
+        other in prop::array::uniform4("[ab]{0,2}"),
+        segments in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..6),
+    ) {
+        let chain = |id: &[String; 4]| {
+            let salt = Salt::new(&id[0], &id[1], &id[2], &id[3]);
+            Chain::new(salt, 16, segments.iter().map(Vec::as_slice))
+        };
+        let (a, b) = (chain(&one), chain(&other));
+        let shared = a.levels().iter().any(|x| b.levels().iter().any(|y| x.hash == y.hash));
+        prop_assert_eq!(shared, one == other);
+    }
+}
