--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -154,7 +154,14 @@
         let shape = self.shape(now, queue::class(flight.request.urgency), flight.long);
         let query = self.query(now, &flight.request, shape, &flight.avoid);
         let view = self.view();
-        let choice = if self.settings.strategy == Strategy::Jaystand {
+        let probed = if self.on_probation > 0 {
+            view.probe(&query)
+        } else {
+            None
+        };
+        let choice = if let Some(server) = probed {
+            Some(view.evaluate(&query, server))
+        } else if self.settings.strategy == Strategy::Jaystand {
             view.place(&query, &mut scratch)
         } else {
             view.place_baseline(&query, flight.sequence, &mut scratch)
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -16,10 +16,15 @@
 
 /// Part of a window that long work may hold.
 const LONG_PART: f64 = 0.5;
+/// Part of a server's slots up to which long work may join.
+const LONG_FILL: f64 = 0.75;
 /// Part of a window that normal work leaves to urgent work; background work leaves twice as much.
 const RESERVED_PART: f64 = 0.125;
 /// Windows smaller than this reserve nothing: urgent work may exceed them by one instead.
 const RESERVING_WINDOW: f64 = 4.0;
+/// Seconds of prefill that other than urgent work may join behind: an engine computes prompts one after
+/// another, and what it has taken delays the next urgent one.
+const PREFILL_AHEAD: f64 = 0.02;
 /// Reports lag by up to 5 s; the own count that they include is taken over a like time.
 const OWN_HORIZON: f64 = 2.5;
 /// Reported load of others loses its meaning over this time.
@@ -67,6 +72,8 @@
     pub(crate) long_in_flight: u32,
     /// Prompt tokens that own requests still have to compute there.
     pub(crate) pending_tokens: f64,
+    /// Attempts whose first token is late by now.
+    pub(crate) overdue: u32,
     pub(crate) window: Window,
     pub(crate) latency: Latency,
     pub(crate) health: Health,
@@ -101,6 +108,7 @@
             in_flight: 0,
             long_in_flight: 0,
             pending_tokens: 0.0,
+            overdue: 0,
             window,
             latency,
             health: Health::new(),
@@ -156,15 +164,25 @@
             return self.in_flight == 0;
         }
         let size = self.window.size();
-        if shape.long && settings.separate_long {
-            let part = figure::floor(size * LONG_PART).max(1);
-            if self.long_in_flight >= part {
-                return false;
-            }
+        let prefill = self.pending_tokens * self.latency.prefill();
+        if shape.class > 0 && prefill > PREFILL_AHEAD {
+            return false;
+        }
+        if shape.long && settings.separate_long && !self.admits_long(now) {
+            return false;
         }
         self.in_flight < class_limit(size, shape)
     }
 
+    /// Whether long work may join. Others' load counts, too: long work outlasts the lag of their reports.
+    fn admits_long(&self, now: Moment) -> bool {
+        let slots = f64::from(self.spec.slots.max(1));
+        let own = f64::from(self.long_in_flight);
+        let all = f64::from(self.in_flight) + self.others(now);
+        let part = (self.window.size() * LONG_PART).max(1.0);
+        own + 1.0 <= part && all + 1.0 <= (slots * LONG_FILL).max(1.0)
+    }
+
     /// Requests of other daemons in flight there, from reports.
     pub(crate) fn others(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.others_at).as_secs_f64();
@@ -250,6 +268,13 @@
         seconds / expected
     }
 
+    /// Expected seconds to first token. A slow server's own figures grow with its slowness, so those of its peers
+    /// bound them.
+    pub(crate) fn expected_first_token(&self, tokens: f64) -> f64 {
+        let peers = self.peers.overhead + tokens * self.peers.prefill;
+        self.latency.first_token(tokens).min(PEERS_FACTOR * peers)
+    }
+
     fn own_average(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.own_at).as_secs_f64();
         let kept = (-age / OWN_HORIZON).exp();
@@ -262,8 +287,10 @@
     }
 }
 
+/// A server's expected times exceed those of its peers at most by this factor.
+const PEERS_FACTOR: f64 = 2.0;
 /// First-token times under this are noise when compared.
-const LEAST_EXPECTED: f64 = 0.01;
+pub(crate) const LEAST_EXPECTED: f64 = 0.01;
 
 fn class_limit(size: f64, shape: Shape) -> u32 {
     if size < RESERVING_WINDOW {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,8 +1,5 @@
 //! A token bucket that ties extra attempts to a share of the requests.
 
-/// Extra attempts allowed before any request has earned one, so that a quiet daemon can retry.
-const BURST: f64 = 32.0;
-
 /// The bucket.
 #[derive(Clone, Debug)]
 pub(crate) struct Budget {
@@ -12,12 +9,12 @@
 }
 
 impl Budget {
-    /// A full bucket that each request refills by `share`.
-    pub(crate) fn new(share: f64) -> Self {
+    /// A bucket full of `burst` extra attempts, which each request refills by `share`.
+    pub(crate) fn new(share: f64, burst: f64) -> Self {
         Self {
             share,
-            tokens: BURST,
-            burst: BURST,
+            tokens: burst,
+            burst,
         }
     }
 
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -160,9 +160,12 @@
             };
             for backend in self.backends.iter_mut().filter(|b| b.model == model) {
                 backend.peers = peers;
+                backend.latency.drift(peers.overhead, peers.prefill);
                 backend.health.advance(now);
             }
         }
+        let waits = |backend: &&Backend| matches!(backend.health.state(), State::Probation { .. });
+        self.on_probation = self.backends.iter().filter(waits).count();
     }
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -4,8 +4,9 @@
 
 use jaystand_types::Moment;
 
-/// Weight of one sample: three slow answers in a row mark a server.
-const GAIN: f64 = 0.4;
+/// A server is as slow as the faster of its last two answers, and is judged for ejection by the fastest of the
+/// last three: prompts of other daemons delay single answers, a slow server delays all.
+const KEPT_SAMPLES: usize = 3;
 const LARGEST_SAMPLE: f64 = 16.0;
 /// Without new samples a server regains half of its lost weight in this time.
 const HALF_LIFE: f64 = 2.0;
@@ -15,9 +16,10 @@
 const READMIT_BELOW: f64 = 2.0;
 /// Slowness that a server on probation is presumed to have.
 const PROBATION: f64 = 1.5;
+/// Time on probation after which an urgent request may be the probe.
+const URGENT_PROBE: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 const LONGEST_PAUSE: Duration = Duration::from_secs(16);
-const MIN_SAMPLES: u32 = 2;
 
 /// Whether a server takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,7 +27,7 @@
     /// As many as its window allows.
     Open,
     /// One at a time, until an answer shows its speed.
-    Probation,
+    Probation { since: Moment },
     /// None until the moment.
     Ejected { until: Moment },
 }
@@ -33,9 +35,9 @@
 /// The health of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
-    ratio: f64,
+    /// Latest ratios, newest first.
+    samples: [f64; KEPT_SAMPLES],
     at: Moment,
-    samples: u32,
     state: State,
     pause: Duration,
 }
@@ -43,9 +45,8 @@
 impl Health {
     pub(crate) fn new() -> Self {
         Self {
-            ratio: 1.0,
+            samples: [1.0; KEPT_SAMPLES],
             at: Moment::ZERO,
-            samples: 0,
             state: State::Open,
             pause: FIRST_PAUSE,
         }
@@ -53,8 +54,7 @@
 
     /// How many times slower than expected the server is now, at least 1.
     pub(crate) fn slowness(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        1.0 + (self.ratio - 1.0).max(0.0) * (-age / HALF_LIFE).exp2()
+        self.decayed(now, self.samples[0].min(self.samples[1]))
     }
 
     pub(crate) fn state(&self) -> State {
@@ -64,20 +64,18 @@
     /// Takes in the ratio of a first-token time to what own load and peers predict.
     pub(crate) fn observe(&mut self, now: Moment, sample: f64) {
         let sample = sample.clamp(0.0, LARGEST_SAMPLE);
-        let present = self.slowness(now);
-        self.ratio = present + GAIN * (sample - present);
+        self.samples.rotate_right(1);
+        self.samples[0] = sample;
         self.at = now;
-        self.samples = self.samples.saturating_add(1);
-        if self.state == State::Probation {
+        if matches!(self.state, State::Probation { .. }) {
             self.judge_probe(now, sample);
         }
     }
 
     /// Whether the server is slow enough to be ejected, given how slow its peers are.
     pub(crate) fn should_eject(&self, now: Moment, peers: f64) -> bool {
-        self.state == State::Open
-            && self.samples >= MIN_SAMPLES
-            && self.slowness(now) / peers.max(1.0) > EJECT_ABOVE
+        let fastest = self.samples.into_iter().fold(LARGEST_SAMPLE, f64::min);
+        self.state == State::Open && self.decayed(now, fastest) / peers.max(1.0) > EJECT_ABOVE
     }
 
     pub(crate) fn eject(&mut self, now: Moment) {
@@ -87,19 +85,31 @@
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
+    /// Whether the server waits for a probe of that urgency. Urgent requests probe only when nothing else did.
+    pub(crate) fn wants_probe(&self, now: Moment, urgent: bool) -> bool {
+        match self.state {
+            State::Probation { since } => !urgent || now >= since + URGENT_PROBE,
+            _ => false,
+        }
+    }
+
     /// Lets an ejected server be probed once its pause is over.
     pub(crate) fn advance(&mut self, now: Moment) {
         match self.state {
             State::Ejected { until } if until <= now => {
-                self.state = State::Probation;
-                self.ratio = PROBATION;
+                self.state = State::Probation { since: now };
+                self.samples = [PROBATION; KEPT_SAMPLES];
                 self.at = now;
-                self.samples = 0;
             }
             _ => {}
         }
     }
 
+    fn decayed(&self, now: Moment, ratio: f64) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        1.0 + (ratio - 1.0).max(0.0) * (-age / HALF_LIFE).exp2()
+    }
+
     fn judge_probe(&mut self, now: Moment, sample: f64) {
         if sample < READMIT_BELOW {
             self.state = State::Open;
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -13,8 +13,9 @@
 const INITIAL_TOKEN: f64 = 0.02;
 const SLOW_GAIN: f64 = 0.05;
 const GAIN: f64 = 0.1;
-/// A sample counts at most this many times the present estimate, so a slow moment does not become the norm.
-const OUTLIER: f64 = 4.0;
+/// Part of the way to the peers' figures that a server's own cost drifts in each comparison. A cost that was
+/// learned too high keeps requests away, and would otherwise never be corrected.
+const DRIFT: f64 = 0.005;
 /// Deviations above the mean at which an answer counts as silent.
 const DEADLINE_DEVIATIONS: f64 = 8.0;
 const DEADLINE_FACTOR: f64 = 4.0;
@@ -51,11 +52,6 @@
         self.overhead.mean() + tokens * self.prefill.mean()
     }
 
-    /// Seconds to first token that nearly all answers stay under.
-    pub(crate) fn late_first_token(&self, tokens: f64) -> f64 {
-        self.first_token(tokens) + 3.0 * self.error.mean()
-    }
-
     pub(crate) fn overhead(&self) -> f64 {
         self.overhead.mean()
     }
@@ -79,12 +75,10 @@
         self.patience = (self.patience * 0.9).max(1.0);
         if tokens < SHORT_PROMPT {
             let rest = (seconds - tokens * self.prefill.mean()).max(0.0);
-            let bound = limit(&self.overhead, rest);
-            self.overhead.add(bound);
+            self.overhead.add_least(rest);
         } else {
             let rest = (seconds - self.overhead.mean()).max(0.0) / tokens;
-            let bound = limit(&self.prefill, rest);
-            self.prefill.add(bound);
+            self.prefill.add_least(rest);
         }
     }
 
@@ -101,6 +95,12 @@
         self.service.add(seconds);
     }
 
+    /// Moves the costs a little towards those of the peers.
+    pub(crate) fn drift(&mut self, overhead: f64, prefill: f64) {
+        self.overhead.move_towards(overhead, DRIFT);
+        self.prefill.move_towards(prefill, DRIFT);
+    }
+
     /// A deadline of this server has expired.
     pub(crate) fn observe_silence(&mut self) {
         self.patience = (self.patience * 2.0).min(MAX_PATIENCE);
@@ -120,9 +120,36 @@
     }
 }
 
-fn limit(estimate: &Estimate, sample: f64) -> f64 {
-    if estimate.samples() < 4 {
-        return sample;
+/// Part of the first tokens that are later than the margin.
+const LATE_PART: f64 = 0.02;
+/// Change of the margin with one sample. Slow enough that the answers of a few slow servers hardly move it.
+const MARGIN_GAIN: f64 = 0.02;
+const INITIAL_MARGIN: f64 = 0.1;
+const LEAST_MARGIN: f64 = 0.01;
+const LARGEST_MARGIN: f64 = 5.0;
+
+/// How far a first token may exceed its expected time before it counts as late: a quantile over all servers, so
+/// that a slow server's own answers do not excuse it.
+#[derive(Clone, Debug)]
+pub(crate) struct Lateness {
+    margin: f64,
+}
+
+impl Lateness {
+    pub(crate) fn new() -> Self {
+        Self {
+            margin: INITIAL_MARGIN,
+        }
+    }
+
+    pub(crate) fn margin(&self) -> f64 {
+        self.margin
+    }
+
+    /// Takes in by how many seconds a first token exceeded its expected time.
+    pub(crate) fn observe(&mut self, excess: f64) {
+        let late = if excess > self.margin { 1.0 } else { 0.0 };
+        let factor = 1.0 + MARGIN_GAIN * (late - LATE_PART);
+        self.margin = (self.margin * factor).clamp(LEAST_MARGIN, LARGEST_MARGIN);
     }
-    sample.min(estimate.mean() * OUTLIER)
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jaystand_types::{Moment, ServerId};
+use jaystand_types::{Moment, RepeatRule, ServerId};
 use smallvec::SmallVec;
 
 use crate::{
@@ -27,6 +27,15 @@
 const GROUP_LEVELS: usize = 3;
 /// Likelihood that a member of a hot prefix's group holds it.
 const GROUP_HELD: f64 = 0.8;
+/// A missed token counts more than its own computation: it delays the requests behind it, too.
+const RECOMPUTE_WEIGHT: f64 = 1.5;
+/// The same for the servers that follow the group in its order, which take what overflows.
+const NEXT_HELD: f64 = 0.5;
+const OVERFLOW: usize = 2;
+/// What members are presumed to hold, relative to the first one. All daemons let a prefix overflow in the same
+/// order, so that it is computed on few servers.
+const RANK_HELD: [f64; MEMBERS] = [1.0, 0.3, 0.15];
+const HOME_ADVANTAGE: f64 = 1.3;
 /// A server without the prefix must win by this part of the best prefix holder's score, or by the least margin.
 const MARGIN_PART: f64 = 0.15;
 const LEAST_MARGIN: f64 = 0.01;
@@ -78,6 +87,8 @@
     pub(crate) scale: Scale,
     /// Part of a prompt that the first member of a cold group has been found to hold.
     pub(crate) home_held: f64,
+    /// Seconds above the expected first token at which it counts as late.
+    pub(crate) margin: f64,
 }
 
 /// The chosen server.
@@ -117,6 +128,9 @@
     server: ServerId,
 }
 
+/// Servers with their rendezvous weights, greatest first.
+type Overflow = SmallVec<[(u64, ServerId); 4]>;
+
 #[derive(Clone, Copy, Debug)]
 struct Scored {
     server: ServerId,
@@ -166,6 +180,30 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// A server on probation that this request may probe. Nothing else would bring it back: what it held has
+    /// moved to others.
+    pub(crate) fn probe(&self, query: &Query<'_>) -> Option<ServerId> {
+        if query.request.repeat != RepeatRule::Repeatable {
+            return None;
+        }
+        let urgent = query.shape.class == 0;
+        let waits = |server: &&ServerId| {
+            let backend = self.backends.get(**server as usize);
+            backend.is_some_and(|backend| {
+                let idle = backend.in_flight == 0 && backend.queue.is_empty();
+                idle && backend.eligible() && backend.health.wants_probe(query.now, urgent)
+            })
+        };
+        let avoided = |server: &&ServerId| !query.avoid.contains(server);
+        query
+            .request
+            .servers
+            .iter()
+            .filter(avoided)
+            .find(waits)
+            .copied()
+    }
+
     /// The terms of a given server, with what is observed of it.
     pub(crate) fn evaluate(&self, query: &Query<'_>, server: ServerId) -> Choice {
         let levels = query.request.chain.levels();
@@ -231,10 +269,12 @@
         self.add_members(query, scratch);
         self.add_holders(query, scratch);
         self.add_least_loaded(query, scratch);
-        // Most held first: the margin protects this one. Ties keep the rendezvous order.
-        scratch
-            .candidates
-            .sort_by(|a, b| b.held.total_cmp(&a.held).then(a.rank.cmp(&b.rank)));
+        // The margin protects the first one. All daemons prefer the home to other holders, so that they agree.
+        scratch.candidates.sort_by(|a, b| {
+            protected(b)
+                .total_cmp(&protected(a))
+                .then(a.rank.cmp(&b.rank))
+        });
     }
 
     /// The servers that may take the request; those to avoid or ejected only when there are no others.
@@ -265,6 +305,7 @@
         let end = levels.last().map_or(1, |level| level.end.max(1));
         scratch.group.clone_from(&scratch.allowed);
         let mut shared = 0.0;
+        let mut next = Overflow::new();
         let mut anchor = query.request.id;
         let mut narrowed = 0;
         for level in levels {
@@ -275,17 +316,17 @@
             }
             shared = self.tokens_to(query, level, end) * GROUP_HELD;
             if narrowed < GROUP_LEVELS && servers < scratch.group.len() {
-                self.narrow(&mut scratch.group, level.hash, servers);
+                next = self.narrow(&mut scratch.group, level.hash, servers);
                 narrowed += 1;
             }
         }
         let members = self.first_members(&scratch.group, anchor);
         let prompt = f64::from(query.request.prompt_tokens);
         for (rank, server) in members.into_iter().enumerate() {
-            let home = if rank == 0 && !levels.is_empty() {
-                query.home_held * prompt
-            } else {
+            let home = if levels.is_empty() {
                 0.0
+            } else {
+                query.home_held * prompt * RANK_HELD[rank]
             };
             scratch.candidates.push(Scored {
                 server,
@@ -295,6 +336,9 @@
                 rank,
             });
         }
+        for (_, server) in next {
+            add(scratch, server, Source::Member, shared * NEXT_HELD, None);
+        }
     }
 
     fn add_holders(&self, query: &Query<'_>, scratch: &mut Scratch) {
@@ -349,12 +393,18 @@
         let backend = &self.backends[scored.server as usize];
         let prompt = f64::from(query.request.prompt_tokens);
         let missed = (prompt - scored.held).max(0.0);
-        let prefill = backend.latency.first_token(missed);
+        let prefill = backend.latency.first_token(missed * RECOMPUTE_WEIGHT);
         let ahead = backend.pending_tokens * backend.latency.prefill();
         let mut slowness = backend.health.slowness(query.now) / backend.peers.slowness.max(1.0);
-        if query.shape.class == 0 && backend.health.state() == State::Probation {
+        if query.shape.class == 0 && matches!(backend.health.state(), State::Probation { .. }) {
             slowness = slowness.max(PROBATION_PENALTY);
         }
+        // A first token that is late right now shows a slow server before any answer does.
+        let stalled = if backend.overdue > 0 {
+            query.margin
+        } else {
+            0.0
+        };
         Terms {
             wait: backend.wait(query.now, query.shape, self.settings),
             ahead,
@@ -365,30 +415,31 @@
             } else {
                 self.settings.link_delay.as_secs_f64()
             },
-            health: (prefill + ahead) * (slowness - 1.0).max(0.0),
+            health: (prefill + ahead) * (slowness - 1.0).max(0.0) + stalled,
         }
     }
 
-    /// Keeps the first servers of the rendezvous order of a level.
-    fn narrow(&self, group: &mut Vec<Ranked>, hash: u64, servers: usize) {
+    /// Keeps the first servers of the rendezvous order of a level; gives the ones after them.
+    fn narrow(&self, group: &mut Vec<Ranked>, hash: u64, servers: usize) -> Overflow {
         for ranked in group.iter_mut() {
             ranked.weight = figure::mix(hash, self.backends[ranked.server as usize].key);
         }
         group.select_nth_unstable_by_key(servers - 1, |ranked| {
             (std::cmp::Reverse(ranked.weight), ranked.server)
         });
+        let mut next = Overflow::new();
+        for ranked in &group[servers..] {
+            insert_first(&mut next, OVERFLOW, ranked.weight, ranked.server);
+        }
         group.truncate(servers);
+        next
     }
 
     fn first_members(&self, group: &[Ranked], hash: u64) -> SmallVec<[ServerId; MEMBERS]> {
-        let mut first: SmallVec<[(u64, ServerId); 4]> = SmallVec::new();
+        let mut first = Overflow::new();
         for ranked in group {
             let weight = figure::mix(hash, self.backends[ranked.server as usize].key);
-            let position = first.partition_point(|(known, _)| *known >= weight);
-            if position < MEMBERS {
-                first.truncate(MEMBERS - 1);
-                first.insert(position, (weight, ranked.server));
-            }
+            insert_first(&mut first, MEMBERS, weight, ranked.server);
         }
         first.into_iter().map(|(_, server)| server).collect()
     }
@@ -438,6 +489,24 @@
     }
 }
 
+/// Held tokens, with the advantage of the first member.
+fn protected(scored: &Scored) -> f64 {
+    if scored.rank == 0 {
+        scored.held * HOME_ADVANTAGE
+    } else {
+        scored.held
+    }
+}
+
+/// Keeps the `most` servers of greatest weight in order.
+fn insert_first(first: &mut Overflow, most: usize, weight: u64, server: ServerId) {
+    let position = first.partition_point(|(known, _)| *known >= weight);
+    if position < most {
+        first.truncate(most - 1);
+        first.insert(position, (weight, server));
+    }
+}
+
 fn choice(scored: &Scored, terms: Terms) -> Choice {
     Choice {
         server: scored.server,
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -3,7 +3,9 @@
 use jaystand_types::{Incarnation, Moment, RequestId};
 
 use crate::{
-    Action, Attempt, Router, Strategy, figure,
+    Action, Attempt, Router, Strategy,
+    backend::LEAST_EXPECTED,
+    figure,
     flight::{Flight, Phase, Running},
     observation::Holder,
     placement::Choice,
@@ -64,7 +66,8 @@
             .first_token_deadline(tokens, self.settings.first_token_floor)
             .min(left);
         let token_deadline = backend.latency.token_deadline(self.settings.token_floor);
-        let late = now + figure::duration(backend.latency.late_first_token(tokens));
+        let late = backend.expected_first_token(tokens) + self.lateness.margin();
+        let late = now + figure::duration(late);
         self.timers.push(late, Due::Late(id, running.number));
         let class = queue::class(flight.request.urgency);
         if flight.charged == 0.0 {
@@ -164,17 +167,21 @@
         }
         running.first_token = true;
         running.latest = now;
-        let mut seen = *running;
+        let seen = *running;
         running.pending = 0.0;
         if !seen.detached {
-            self.learn_first_token(now, &mut seen);
+            self.learn_first_token(now, &seen);
         }
         self.cancel_others(now, id, attempt, actions);
+        if !seen.detached {
+            self.pump(now, seen.server, actions);
+        }
     }
 
-    fn learn_first_token(&mut self, now: Moment, running: &mut Running) {
+    fn learn_first_token(&mut self, now: Moment, running: &Running) {
         let backend = &mut self.backends[running.server as usize];
         backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
+        backend.overdue -= u32::from(running.late);
         if running.resume {
             return;
         }
@@ -182,7 +189,15 @@
         let tokens = running.ahead + running.missed;
         let sample = backend.slowness_sample(tokens, seconds);
         backend.health.observe(now, sample);
-        backend.window.observe(now, sample, backend.in_flight);
+        self.lateness
+            .observe(seconds - backend.expected_first_token(tokens));
+        let unloaded = backend
+            .latency
+            .first_token(running.missed)
+            .max(LEAST_EXPECTED);
+        backend
+            .window
+            .observe(now, seconds / unloaded, backend.in_flight);
         backend.latency.observe_first_token(tokens, seconds);
         self.eject_if_slow(now, running.server);
     }
@@ -286,6 +301,7 @@
         let backend = &mut self.backends[running.server as usize];
         if !running.first_token {
             backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
+            backend.overdue -= u32::from(running.late);
         }
         backend.leave(now, running.long);
     }
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -8,6 +8,7 @@
 use crate::{
     Action, Attempt, Failure, Refusal, Router, Strategy,
     admission::refusal,
+    figure,
     flight::{Flight, Next, Phase, Running},
     progress::cancellation,
     queue,
@@ -25,6 +26,19 @@
 /// Slowness counted against a server that answers with an error.
 const ERROR_SLOWNESS: f64 = 4.0;
 
+/// What follows the failure of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Another attempt still runs.
+    Continue,
+    /// The stream is resumed at once.
+    Resume,
+    /// Another attempt is sent after a pause.
+    Retry,
+    /// The caller gets its final answer.
+    GiveUp(Refusal),
+}
+
 impl Router {
     /// An attempt has failed.
     pub(crate) fn failed(
@@ -47,8 +61,23 @@
         let alone = flight.attempts.is_empty();
         self.release(now, &running);
         self.learn_failure(now, &running, failure);
-        if alone {
-            self.recover(now, id, &running, failure, actions);
+        let step = if alone {
+            self.next_step(now, id, &running, failure)
+        } else {
+            Step::Continue
+        };
+        if failure == Failure::Silent && step != Step::Resume {
+            // The server may still run it, unheard.
+            actions.push(cancellation(id, &running));
+        }
+        match step {
+            Step::Continue => {}
+            Step::GiveUp(reason) => self.refuse(now, id, reason, actions),
+            Step::Resume => self.retry(now, id, actions),
+            Step::Retry => {
+                let delay = self.backoff(id);
+                self.timers.push(now + delay, Due::Retry(id));
+            }
         }
         if !running.detached {
             self.pump(now, running.server, actions);
@@ -81,48 +110,40 @@
     }
 
     /// Decides what follows the failure of a request's only attempt.
-    fn recover(
+    fn next_step(
         &mut self,
         now: Moment,
         id: RequestId,
         running: &Running,
         failure: Failure,
-        actions: &mut Vec<Action>,
-    ) {
+    ) -> Step {
         let Some(flight) = self.flights.get_mut(&id) else {
-            return;
+            return Step::Continue;
         };
-        let may_repeat = flight.repeatable() || !flight.may_have_run;
         if flight.request.deadline <= now {
-            self.refuse(now, id, Refusal::DeadlinePassed, actions);
-            return;
+            return Step::GiveUp(Refusal::DeadlinePassed);
         }
-        let attempts_left = flight.used < self.settings.max_attempts;
-        let allowed = may_repeat && attempts_left && {
-            if flight.tokens > 0 {
-                self.retries.spend_overdrawn()
-            } else {
-                self.retries.spend()
-            }
+        let may_repeat = flight.repeatable() || !flight.may_have_run;
+        if !may_repeat || flight.used >= self.settings.max_attempts {
+            return Step::GiveUp(Refusal::AttemptsExhausted);
+        }
+        let in_budget = if flight.tokens > 0 {
+            self.retries.spend_overdrawn()
+        } else {
+            self.retries.spend()
         };
-        if !allowed {
-            if failure == Failure::Silent {
-                actions.push(cancellation(id, running));
-            }
-            self.refuse(now, id, Refusal::AttemptsExhausted, actions);
-            return;
+        if !in_budget {
+            return Step::GiveUp(Refusal::AttemptsExhausted);
         }
-        plan(flight, running, failure);
+        let backend = self.backends.get(running.server as usize);
+        let connected = !running.detached && backend.is_some_and(|backend| backend.reachable);
+        plan(flight, running, failure, connected);
         flight.phase = Phase::Backoff;
         if flight.next.resume_on.is_some() {
-            self.retry(now, id, actions);
-            return;
+            Step::Resume
+        } else {
+            Step::Retry
         }
-        if failure == Failure::Silent {
-            actions.push(cancellation(id, running));
-        }
-        let delay = self.backoff(id);
-        self.timers.push(now + delay, Due::Retry(id));
     }
 
     /// A random time that grows with the attempts of the request.
@@ -142,19 +163,13 @@
         if flight.phase != Phase::Backoff {
             return;
         }
-        if let Some(server) = flight.next.resume_on {
-            let reachable = self
-                .backends
-                .get(server as usize)
-                .is_some_and(|backend| backend.reachable);
-            if reachable {
+        match flight.next.resume_on {
+            Some(server) => {
                 let choice = self.choice_of(now, id, server);
                 self.dispatch(now, id, choice, false, actions);
-                return;
             }
-            flight.next.resume_on = None;
+            None => self.route(now, id, actions),
         }
-        self.route(now, id, actions);
     }
 
     /// The first token of an attempt is late: counts against the server, and may start a hedge.
@@ -174,12 +189,20 @@
         if running.first_token || running.late || running.resume || running.detached {
             return;
         }
+        let backend = &mut self.backends[running.server as usize];
+        // The cache may have held less than presumed: the head of the response has told by now.
+        let expected = backend.expected_first_token(running.ahead + running.missed);
+        let due = running.sent + figure::duration(expected + self.lateness.margin());
+        if now < due {
+            self.timers.push(due, Due::Late(id, attempt));
+            return;
+        }
         running.late = true;
         let running = *running;
-        let backend = &mut self.backends[running.server as usize];
         let seconds = now.saturating_sub(running.sent).as_secs_f64();
         let sample = backend.slowness_sample(running.ahead + running.missed, seconds);
         backend.health.observe(now, sample);
+        backend.overdue += 1;
         self.eject_if_slow(now, running.server);
         self.hedge(now, id, running.server, actions);
     }
@@ -272,10 +295,10 @@
 }
 
 /// Chooses where and how the next attempt runs.
-fn plan(flight: &mut Flight, running: &Running, failure: Failure) {
+fn plan(flight: &mut Flight, running: &Running, failure: Failure, connected: bool) {
     let stream_cut = matches!(failure, Failure::Silent | Failure::Broken);
     // One resume on the same server: a second failure in a row there means more than a bad connection.
-    let resume = stream_cut && running.accepted && !running.resume && !running.detached;
+    let resume = stream_cut && running.accepted && !running.resume && connected;
     flight.next = Next {
         resume_on: resume.then_some(running.server),
         fresh: stream_cut,
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -13,6 +13,7 @@
     figure,
     flight::Flight,
     heat::{Heat, Scale},
+    latency::Lateness,
     observation::Observations,
     placement::{Query, Scratch, View},
     queue,
@@ -28,6 +29,10 @@
 const HOUSEKEEPING: std::time::Duration = std::time::Duration::from_millis(100);
 /// Room for urgent work is kept this long after the latest urgent request.
 const RESERVE: std::time::Duration = std::time::Duration::from_secs(60);
+/// Retries allowed before any request has earned one: a crash fails all attempts on a server at once.
+const RETRY_BURST: f64 = 32.0;
+/// Hedges allowed at once; more would be load that the servers did not have before they slowed down.
+const HEDGE_BURST: f64 = 6.0;
 /// Part of a prompt that the home of an unobserved prefix is presumed to hold, before it is measured.
 const INITIAL_HOME_HELD: f64 = 0.5;
 const HOME_HELD_GAIN: f64 = 0.02;
@@ -46,11 +51,14 @@
     pub(crate) observations: Observations,
     pub(crate) heat: Heat,
     pub(crate) home_held: Estimate,
+    pub(crate) lateness: Lateness,
     pub(crate) retries: Budget,
     pub(crate) hedges: Budget,
     pub(crate) queued: usize,
     /// Servers with waiting requests.
     pub(crate) waiting: Vec<ServerId>,
+    /// Servers that wait for a probe, at the latest comparison.
+    pub(crate) on_probation: usize,
     pub(crate) sequence: u64,
     pub(crate) latest_urgent: Option<Moment>,
     pub(crate) scratch: Scratch,
@@ -73,10 +81,12 @@
             observations: Observations::new(),
             heat: Heat::new(),
             home_held: Estimate::new(INITIAL_HOME_HELD, HOME_HELD_GAIN),
-            retries: Budget::new(settings.retry_share),
-            hedges: Budget::new(settings.hedge_share),
+            lateness: Lateness::new(),
+            retries: Budget::new(settings.retry_share, RETRY_BURST),
+            hedges: Budget::new(settings.hedge_share, HEDGE_BURST),
             queued: 0,
             waiting: Vec::new(),
+            on_probation: 0,
             sequence: 0,
             latest_urgent: None,
             scratch: Scratch::default(),
@@ -213,6 +223,7 @@
             avoid,
             scale: self.scale(request),
             home_held: self.home_held.mean(),
+            margin: self.lateness.margin(),
         }
     }
 
