Add the platform client

Cause: claims and configuration live in the platform's object API, and a caller that writes conditionally must know whether a failed write may have taken effect.

The JSON shape of a list, `{revision, objects}`, is fixed here because the design leaves it open.

--- /dev/null
+++ b/crates/platform/src/bucket.rs
@@ -0,0 +1,40 @@
+//! The token bucket that bounds this client's calls.
+
+use std::time::Duration;
+
+use jaystand_types::Moment;
+
+/// Refills at a steady rate up to one second's worth.
+#[derive(Clone, Debug)]
+pub(crate) struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    refilled: Moment,
+}
+
+impl Bucket {
+    /// A full bucket at time zero.
+    pub(crate) fn new(per_s: u32) -> Self {
+        let per_s = f64::from(per_s.max(1));
+        Self {
+            per_s,
+            tokens: per_s,
+            refilled: Duration::ZERO,
+        }
+    }
+
+    /// Takes one token; false when none is left.
+    pub(crate) fn take(&mut self, now: Moment) -> bool {
+        let passed = now.saturating_sub(self.refilled).as_secs_f64();
+        self.refilled = self.refilled.max(now);
+        self.tokens = (self.tokens + passed * self.per_s).min(self.per_s);
+        let granted = self.tokens >= 1.0;
+        if granted {
+            self.tokens -= 1.0;
+        }
+        granted
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/bucket/tests.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+/// Guards against a daemon that exceeds its share of the platform's calls after an idle time or a clock step back.
+#[test]
+fn never_grants_more_than_a_second_worth_at_once() {
+    let mut bucket = Bucket::new(3);
+    let grants = |bucket: &mut Bucket, at| {
+        (0..10)
+            .filter(|_| bucket.take(Duration::from_secs(at)))
+            .count()
+    };
+    assert_eq!(grants(&mut bucket, 0), 3);
+    assert_eq!(grants(&mut bucket, 1), 3);
+    assert_eq!(grants(&mut bucket, 3600), 3);
+    assert_eq!(grants(&mut bucket, 10), 0);
+}
--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,113 @@
+//! What the object API stores and reports.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use jaystand_types::{DataCentre, HostName, Version};
+use serde::Deserialize;
+
+/// Position in a kind's history of changes.
+pub type Revision = u64;
+
+/// An object as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Its version, from the entity tag.
+    pub version: Version,
+    /// Its value.
+    pub value: Bytes,
+}
+
+jaystand_types::common! { value
+    /// The state that a conditional update requires.
+    pub enum Expected {
+        /// The object does not exist.
+        Absent,
+        /// The object exists at this version.
+        Version(Version),
+    }
+}
+
+impl From<Option<Version>> for Expected {
+    fn from(version: Option<Version>) -> Self {
+        version.map_or(Self::Absent, Self::Version)
+    }
+}
+
+/// The objects of one kind.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Listing {
+    /// Revision of the kind at the time of the listing; 0 when the platform does not say.
+    #[serde(default)]
+    pub revision: Revision,
+    /// Names and versions.
+    pub objects: Vec<Listed>,
+}
+
+/// One object of a listing.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Listed {
+    /// Name.
+    pub name: String,
+    /// Version.
+    pub version: Version,
+}
+
+/// The answer to one long poll; no events when nothing changed in time.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Changes {
+    /// Where the next poll goes on.
+    pub revision: Revision,
+    /// Changes in order.
+    pub events: Vec<Change>,
+}
+
+/// One change of a watched kind.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Change {
+    /// Name of the object.
+    pub name: String,
+    /// Its new version.
+    pub version: Version,
+    /// The value as text; absent when the object was deleted. Read the object for the exact bytes.
+    pub value: Option<String>,
+}
+
+/// A host of the platform's list, which lags.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Host {
+    /// Name.
+    pub name: HostName,
+    /// Address as the platform writes it.
+    pub address: CompactString,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentre,
+    /// Whether it is about to leave.
+    pub state: HostState,
+    /// What runs on it.
+    pub role: Role,
+}
+
+/// Whether a host is about to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// It serves.
+    Live,
+    /// It is about to leave.
+    Leaving,
+}
+
+/// What runs on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// The router daemon.
+    Daemon,
+    /// A backend server.
+    Backend,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct HostList {
+    pub(crate) hosts: Vec<Host>,
+}
