Add stand-ins for engines, services, the ledger and the platform

Cause: the daemon is built against the engine protocol and the object API and needs both to run, with faults.

--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,124 @@
+//! Continuous batching: each step computes some prompt tokens and one answer token a running request.
+
+use std::{
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use rand::RngExt as _;
+use tokio::{sync::Notify, time::Instant};
+
+use super::{
+    Engine, Settings,
+    state::{Phase, State},
+};
+
+/// Runs steps until the engine is dropped. It holds the engine only between waits.
+pub(super) async fn run(engine: Weak<Engine>, work: Arc<Notify>) {
+    let mut due = Instant::now();
+    loop {
+        let planned = {
+            let Some(engine) = engine.upgrade() else {
+                return;
+            };
+            let planned = engine.state.lock().begin(&engine.settings);
+            planned.map(|(step, generation)| (engine.faults.lock().slowed(step), generation))
+        };
+        let Some((step, generation)) = planned else {
+            work.notified().await;
+            due = Instant::now();
+            continue;
+        };
+        // Adds to the planned end of the last step, so that late timers do not slow the engine down.
+        due += step;
+        if step.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            tokio::time::sleep_until(due).await;
+        }
+        let Some(engine) = engine.upgrade() else {
+            return;
+        };
+        let mut state = engine.state.lock();
+        if state.generation == generation {
+            state.finish_step(&engine.settings);
+        }
+    }
+}
+
+impl State {
+    /// Fills free slots and plans a step; `None` when there is nothing to do.
+    fn begin(&mut self, settings: &Settings) -> Option<(Duration, u64)> {
+        self.expire(settings);
+        while self.running.len() < settings.slots {
+            let Some((_, id)) = self.waiting.pop_first() else {
+                break;
+            };
+            self.admit(id, settings);
+        }
+        self.sample();
+        if self.running.is_empty() {
+            return None;
+        }
+        let mut budget = settings.prefill_budget.max(1);
+        for id in &self.running {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let computed = job.prefill.min(budget);
+            job.prefill -= computed;
+            budget -= computed;
+        }
+        let computed = settings.prefill_budget.max(1) - budget;
+        let batch = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let step = settings.step
+            + settings.step_per_request * batch
+            + settings.prefill_per_token * computed;
+        Some((step, self.generation))
+    }
+
+    /// Emits a token for each request whose prompt is computed.
+    fn finish_step(&mut self, settings: &Settings) {
+        let mut finished = Vec::new();
+        for id in self.running.clone() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.prefill > 0 {
+                continue;
+            }
+            if !job.stored {
+                job.stored = true;
+                let lost =
+                    settings.event_loss > 0.0 && self.random.random_bool(settings.event_loss);
+                self.cache.store(&job.prompt.blocks, lost);
+            }
+            let total = job.total;
+            job.progress
+                .send_modify(|progress| progress.ready = (progress.ready + 1).min(total));
+            if job.progress.borrow().ready >= job.total {
+                finished.push(id);
+            }
+        }
+        for id in finished {
+            self.end(id, Phase::Finished);
+        }
+    }
+
+    /// Cancels streams that nobody has resumed within the grace time.
+    fn expire(&mut self, settings: &Settings) {
+        let orphans: Vec<_> = self
+            .running
+            .iter()
+            .chain(self.waiting.values())
+            .copied()
+            .filter(|id| {
+                let orphaned = self.jobs.get(id).and_then(|job| job.orphaned);
+                orphaned.is_some_and(|since| since.elapsed() >= settings.resume_grace)
+            })
+            .collect();
+        for id in orphans {
+            self.end(id, Phase::Cancelled);
+        }
+    }
+}
