--- a/crates/standin/src/bin/jaystand-standin.rs
+++ b/crates/standin/src/bin/jaystand-standin.rs
@@ -87,9 +87,9 @@
     /// Ignore the fencing number of orders.
     #[arg(long)]
     ignore_fencing: bool,
-    /// Seed of incarnations and random faults.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    /// Seed of incarnations and random faults; random by default, so that incarnations differ.
+    #[arg(long)]
+    seed: Option<u64>,
 }
 
 #[tokio::main]
@@ -139,7 +139,7 @@
             step_per_request: Duration::from_micros(self.step_per_request_us),
             prefill_per_token: Duration::from_micros(self.prefill_per_token_us),
             fencing: !self.ignore_fencing,
-            seed: self.seed,
+            seed: self.seed.unwrap_or_else(rand::random),
             ..engine::Settings::default()
         }
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -217,6 +217,8 @@
     let service = service_fn(move |request| Arc::clone(&standin).call(request));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        // The default of 30 s would close silent connections, which must stay open.
+        .header_read_timeout(None)
         .serve_connection(TokioIo::new(io), service);
     tokio::pin!(connection);
     tokio::select! {
