Parse, check, compare and hash the routing sheet

Cause: the sheet crate held only the data types of the interface. Conclusion: a document can be checked as a whole before it is written to the platform.

--- /dev/null
+++ b/crates/sheet/src/diff.rs
@@ -0,0 +1,225 @@
+//! What changes between two documents, for operators to read before and after they apply a sheet.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use compact_str::CompactString;
+
+use crate::{Column, Directory, Document, Model, Rule, Server, Target, Team, parse};
+
+/// One change between two documents.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// What changes.
+    pub subject: Subject,
+    /// How.
+    pub action: Action,
+}
+
+/// What a change is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    /// A team of the directory.
+    Team(CompactString),
+    /// A model of the directory.
+    Model(CompactString),
+    /// A backend server of the directory.
+    Server(CompactString),
+    /// The rule of a team for a request kind.
+    Rule(CompactString, CompactString),
+    /// The order of a team's rules, which decides the request kind of callers that name none.
+    Order(CompactString),
+}
+
+/// How a subject changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// Fields of it change.
+    Changed(Vec<Field>),
+}
+
+/// A field that changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Its name: a column of the sheet or a key of the directory.
+    pub name: &'static str,
+    /// The old value as text.
+    pub old: String,
+    /// The new value as text.
+    pub new: String,
+}
+
+type Fields = Vec<(&'static str, String)>;
+
+/// The changes from `old` to `new`: teams, models, servers, then rules, each in the order of names.
+///
+/// Rows that do not pass the checks count as absent.
+#[must_use]
+pub fn diff(old: &Document, new: &Document) -> Vec<Change> {
+    let (before, after) = (subjects(old), subjects(new));
+    let all: BTreeSet<&Subject> = before.keys().chain(after.keys()).collect();
+    all.into_iter()
+        .filter_map(|subject| {
+            let action = action(before.get(subject), after.get(subject))?;
+            let subject = subject.clone();
+            Some(Change { subject, action })
+        })
+        .collect()
+}
+
+fn action(before: Option<&Fields>, after: Option<&Fields>) -> Option<Action> {
+    let (before, after) = match (before, after) {
+        (Some(before), Some(after)) => (before, after),
+        (None, Some(_)) => return Some(Action::Added),
+        (Some(_), None) => return Some(Action::Removed),
+        (None, None) => return None,
+    };
+    let changed: Vec<Field> = before
+        .iter()
+        .zip(after)
+        .filter(|(old, new)| old != new)
+        .map(|((name, old), (_, new))| Field {
+            name,
+            old: old.clone(),
+            new: new.clone(),
+        })
+        .collect();
+    (!changed.is_empty()).then_some(Action::Changed(changed))
+}
+
+fn subjects(document: &Document) -> BTreeMap<Subject, Fields> {
+    let directory = &document.directory;
+    let rules = parse::read(&document.sheet, directory, &mut Vec::new());
+    let mut kinds: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for rule in &rules {
+        kinds.entry(&rule.team).or_default().push(&rule.kind);
+    }
+    let order = kinds.into_iter().map(|(team, kinds)| {
+        let fields = vec![("request kinds", kinds.join(" "))];
+        (Subject::Order(team.into()), fields)
+    });
+    let teams = directory.teams.iter().map(team);
+    let models = directory.models.iter().map(model);
+    let servers = directory.servers.iter().map(server);
+    let rows = rules.iter().map(|row| rule(row, directory));
+    teams
+        .chain(models)
+        .chain(servers)
+        .chain(rows)
+        .chain(order)
+        .collect()
+}
+
+fn team(team: &Team) -> (Subject, Fields) {
+    let fields = vec![
+        ("key_hash", team.key_hash.to_string()),
+        ("weight", team.weight.to_string()),
+    ];
+    (Subject::Team(team.name.clone()), fields)
+}
+
+fn model(model: &Model) -> (Subject, Fields) {
+    let fields = vec![
+        ("weights_version", model.weights_version.to_string()),
+        ("serving_share", model.serving_share.to_string()),
+    ];
+    (Subject::Model(model.name.clone()), fields)
+}
+
+fn server(server: &Server) -> (Subject, Fields) {
+    let fields = vec![
+        ("address", server.address.to_string()),
+        ("data_centre", server.data_centre.to_string()),
+        ("kind", format!("{:?}", server.kind).to_lowercase()),
+        ("model", server.model.to_string()),
+        ("weights_version", server.weights_version.to_string()),
+        ("fencing", format!("{:?}", server.fencing).to_lowercase()),
+        ("slots", server.slots.to_string()),
+    ];
+    (Subject::Server(server.name.clone()), fields)
+}
+
+fn rule(rule: &Rule, directory: &Directory) -> (Subject, Fields) {
+    let (Target::Model(target) | Target::Service(target)) = &rule.target;
+    let mut servers: Vec<&str> = rule
+        .servers
+        .iter()
+        .filter_map(|id| directory.servers.get(*id as usize))
+        .map(|server| server.name.as_str())
+        .collect();
+    servers.sort_unstable();
+    let limits = &rule.limits;
+    let bound = |limit: Option<std::num::NonZeroU32>| {
+        limit.map_or_else(|| "unlimited".to_owned(), |limit| limit.to_string())
+    };
+    let cells = [
+        (Column::Target, target.to_string()),
+        (Column::Urgency, rule.urgency.to_string()),
+        (Column::Repeat, rule.repeat.to_string()),
+        (Column::Servers, servers.join(" ")),
+        (Column::MaxInFlight, bound(limits.max_in_flight)),
+        (Column::RequestsPerMinute, bound(limits.requests_per_minute)),
+        (
+            Column::FirstToken,
+            limits.first_token.as_millis().to_string(),
+        ),
+        (Column::Deadline, limits.deadline.as_secs().to_string()),
+        (Column::ExpectedTokens, limits.expected_tokens.to_string()),
+    ];
+    let fields = cells.map(|(column, text)| (column.as_str(), text));
+    let subject = Subject::Rule(rule.team.clone(), rule.kind.clone());
+    (subject, fields.into())
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.action {
+            Action::Added => write!(f, "+ {}", self.subject),
+            Action::Removed => write!(f, "- {}", self.subject),
+            Action::Changed(fields) => {
+                write!(f, "~ {}", self.subject)?;
+                for (index, field) in fields.iter().enumerate() {
+                    write!(f, "{} {field}", if index == 0 { ":" } else { "," })?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Team(name) => write!(f, "team {name}"),
+            Self::Model(name) => write!(f, "model {name}"),
+            Self::Server(name) => write!(f, "backend server {name}"),
+            Self::Rule(team, kind) => write!(f, "rule {team} / {kind}"),
+            Self::Order(team) => write!(f, "order of the rules of team {team}"),
+        }
+    }
+}
+
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.name != Column::Servers.as_str() {
+            return write!(f, "{} {} -> {}", self.name, self.old, self.new);
+        }
+        // A list may hold hundreds of names, so only the difference is shown.
+        f.write_str(self.name)?;
+        let old: BTreeSet<&str> = self.old.split(' ').collect();
+        let new: BTreeSet<&str> = self.new.split(' ').collect();
+        for name in new.difference(&old) {
+            write!(f, " +{name}")?;
+        }
+        for name in old.difference(&new) {
+            write!(f, " -{name}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -1,9 +1,19 @@
 //! The routing sheet and the directory: what operators write, checked as a whole before anything takes effect.
 
+mod check;
+mod column;
+mod diff;
 mod directory;
 mod document;
+mod fault;
+mod hash;
+mod parse;
 mod rule;
 
+pub use column::Column;
+pub use diff::{Action, Change, Field, Subject, diff};
 pub use directory::{Directory, Fencing, Model, Server, ServerKind, Team};
 pub use document::Document;
+pub use fault::{Fault, Faults, Part, Place, Problem};
+pub use parse::Sheet;
 pub use rule::{Limits, Rule, Target};
