--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,6 +5,7 @@
 use crate::{
     Action, Refusal, Request, Router, Strategy, figure,
     flight::{Flight, Next, Phase},
+    health::State,
     placement::Choice,
     queue::{self, Entry},
     tenant::{Limited, Typical},
@@ -12,8 +13,10 @@
 };
 
 /// Queues looked at, and requests in each, when a server with room takes over waiting work.
-const STEAL_QUEUES: usize = 8;
-const STEAL_ENTRIES: usize = 8;
+const STEAL_QUEUES: usize = 4;
+const STEAL_ENTRIES: usize = 4;
+/// Servers offered waiting work in each review; the next review goes on from there.
+const REVIEWED_SERVERS: usize = 64;
 /// Retry-After when a limit on requests in flight is reached, in seconds.
 const LIMIT_PAUSE: f64 = 2.0;
 /// Part of the predicted answer time that must fit before the deadline: predictions err to both sides, and a
@@ -86,12 +89,12 @@
         let shape = self.shape(now, class, flight.long);
         let backend = &self.backends[choice.server as usize];
         let first_in_line = backend.queue.ahead_of(self.counted_class(class)) == 0;
-        if first_in_line && backend.admits(now, shape, &self.settings) {
+        if first_in_line && backend.admits(now, shape, choice.missed, &self.settings) {
             self.dispatch(now, id, choice, false, actions);
         } else if self.too_late(now, flight, choice) {
             self.refuse(now, id, Refusal::Overload, actions);
         } else {
-            self.enqueue(now, id, choice.server, actions);
+            self.enqueue(now, id, choice, actions);
         }
     }
 
@@ -119,7 +122,28 @@
         server: ServerId,
         actions: &mut Vec<Action>,
     ) {
-        let mut entries = self.backends[server as usize].queue.drain();
+        let entries = self.backends[server as usize].queue.drain();
+        self.place_again(now, server, entries, actions);
+    }
+
+    /// Places the urgent requests that wait for a server that is late again.
+    pub(crate) fn replace_urgent(
+        &mut self,
+        now: Moment,
+        server: ServerId,
+        actions: &mut Vec<Action>,
+    ) {
+        let entries = self.backends[server as usize].queue.drain_urgent();
+        self.place_again(now, server, entries, actions);
+    }
+
+    fn place_again(
+        &mut self,
+        now: Moment,
+        server: ServerId,
+        mut entries: Vec<Entry>,
+        actions: &mut Vec<Action>,
+    ) {
         self.queued -= entries.len();
         self.forget_if_empty(server);
         entries.sort_by_key(|entry| entry.sequence);
@@ -138,12 +162,21 @@
         }
         for server in self.waiting.clone() {
             self.refuse_late(now, server, actions);
+            let backend = &self.backends[server as usize];
+            if backend.overdue > 0 || backend.health.state() != State::Open {
+                self.replace_urgent(now, server, actions);
+            }
         }
-        for server in 0..self.backends.len() {
+        for server in self.waiting.clone() {
+            self.pump(now, server, actions);
+        }
+        let total = self.backends.len();
+        for _ in 0..REVIEWED_SERVERS.min(total) {
             if self.queued == 0 {
                 return;
             }
-            let server = ServerId::try_from(server).unwrap_or(ServerId::MAX);
+            self.reviewed = (self.reviewed + 1) % total;
+            let server = ServerId::try_from(self.reviewed).unwrap_or(ServerId::MAX);
             self.pump(now, server, actions);
         }
     }
@@ -178,7 +211,8 @@
         self.view().evaluate(&query, server)
     }
 
-    fn enqueue(&mut self, now: Moment, id: RequestId, server: ServerId, actions: &mut Vec<Action>) {
+    fn enqueue(&mut self, now: Moment, id: RequestId, choice: Choice, actions: &mut Vec<Action>) {
+        let server = choice.server;
         if self.queued >= self.settings.queue && !self.make_room(now, id, actions) {
             self.refuse(now, id, Refusal::QueueFull, actions);
             return;
@@ -190,6 +224,7 @@
             long: flight.long,
             team: flight.member.team,
             since: flight.submitted,
+            missed: choice.missed,
             sequence: flight.sequence,
         };
         let backend = &mut self.backends[server as usize];
@@ -197,6 +232,7 @@
             self.waiting.push(server);
         }
         backend.queue.push(entry);
+        self.rank(now, server);
         self.queued += 1;
         self.set_phase(id, Phase::Queued(server));
     }
@@ -253,7 +289,7 @@
             },
             |entry| {
                 let shape = self.shape(now, entry.class, entry.long);
-                backend.admits(now, shape, &self.settings)
+                backend.admits(now, shape, entry.missed, &self.settings)
             },
         );
         self.backends[server as usize].queue = queue;
@@ -267,7 +303,7 @@
         }
         let backend = &self.backends[server as usize];
         if !backend.queue.is_empty()
-            && !backend.admits(now, self.shape(now, 0, false), &self.settings)
+            && !backend.admits(now, self.shape(now, 0, false), 0.0, &self.settings)
         {
             return None;
         }
@@ -298,7 +334,7 @@
 
     fn gains(&self, now: Moment, entry: &Entry, from: ServerId, to: ServerId) -> bool {
         let shape = self.shape(now, entry.class, entry.long);
-        if !self.backends[to as usize].admits(now, shape, &self.settings) {
+        if !self.backends[to as usize].admits(now, shape, 0.0, &self.settings) {
             return false;
         }
         let flight = &self.flights[&entry.request];
@@ -306,6 +342,9 @@
             return false;
         }
         let there = self.choice_of(now, entry.request, to);
+        if !self.backends[to as usize].admits(now, shape, there.missed, &self.settings) {
+            return false;
+        }
         let here = self.choice_of(now, entry.request, from);
         there.expected < here.expected
     }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -22,9 +22,13 @@
 const RESERVED_PART: f64 = 0.125;
 /// Windows smaller than this reserve nothing: urgent work may exceed them by one instead.
 const RESERVING_WINDOW: f64 = 4.0;
-/// Seconds of prefill that other than urgent work may join behind: an engine computes prompts one after
-/// another, and what it has taken delays the next urgent one.
+/// Seconds of prefill that an engine may have before it with the next prompt of other than urgent work, unless
+/// that is the only one: an engine computes prompts one after another, and what it has taken delays the next
+/// urgent one.
 const PREFILL_AHEAD: f64 = 0.02;
+/// The same for urgent work. It waits in the router rather than in the engine, since it may find its prefix
+/// cached when the prompt ahead is computed, or another server free.
+const URGENT_PREFILL_AHEAD: f64 = 0.1;
 /// Reports lag by up to 5 s; the own count that they include is taken over a like time.
 const OWN_HORIZON: f64 = 2.5;
 /// Reported load of others loses its meaning over this time.
@@ -152,26 +156,42 @@
         !self.leaving && self.reachable
     }
 
-    /// Whether a request of this shape may be sent now.
-    pub(crate) fn admits(&self, now: Moment, shape: Shape, settings: &Settings) -> bool {
+    /// Whether a request of this shape that has to compute `missed` prompt tokens may be sent now.
+    pub(crate) fn admits(
+        &self,
+        now: Moment,
+        shape: Shape,
+        missed: f64,
+        settings: &Settings,
+    ) -> bool {
         if self.cooling > now {
             return false;
         }
         if settings.strategy != Strategy::Jaystand {
             return self.in_flight < self.spec.slots.max(1);
         }
-        if self.health.state() != State::Open {
-            return self.in_flight == 0;
+        let prefill = (self.pending_tokens + missed) * self.latency.prefill();
+        let most = if shape.class == 0 {
+            URGENT_PREFILL_AHEAD
+        } else {
+            PREFILL_AHEAD
+        };
+        let joins = self.pending_tokens <= 0.0 || prefill <= most;
+        joins && self.free_slots(now, shape, settings) > 0
+    }
+
+    /// Requests of this shape that the window has room for.
+    fn free_slots(&self, now: Moment, shape: Shape, settings: &Settings) -> u32 {
+        if settings.strategy != Strategy::Jaystand {
+            return self.spec.slots.max(1).saturating_sub(self.in_flight);
         }
-        let size = self.window.size();
-        let prefill = self.pending_tokens * self.latency.prefill();
-        if shape.class > 0 && prefill > PREFILL_AHEAD {
-            return false;
+        if self.health.state() != State::Open {
+            return 1_u32.saturating_sub(self.in_flight);
         }
         if shape.long && settings.separate_long && !self.admits_long(now) {
-            return false;
+            return 0;
         }
-        self.in_flight < class_limit(size, shape)
+        class_limit(self.window.size(), shape).saturating_sub(self.in_flight)
     }
 
     /// Whether long work may join. Others' load counts, too: long work outlasts the lag of their reports.
@@ -237,11 +257,11 @@
             CLASSES - 1
         };
         let ahead = self.queue.ahead_of(class);
-        if ahead == 0 && self.admits(now, shape, settings) {
-            return contention;
-        }
-        let turns = f64::from(ahead) + 1.0;
-        cooling + contention.max(turns * service / self.window.size())
+        let free = self.free_slots(now, shape, settings);
+        let turns = f64::from((ahead + 1).saturating_sub(free));
+        let slots = turns * service / self.window.size();
+        let prefill = self.queue.tokens_ahead_of(class) * self.latency.prefill();
+        cooling + contention.max(slots).max(prefill)
     }
 
     /// Likelihood that a prefix seen there this long ago is still cached.
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Starts at a value that is trusted from the start: each sample counts `gain`.
+    pub(crate) fn trusted(initial: f64, gain: f64) -> Self {
+        Self {
+            samples: u32::MAX,
+            ..Self::new(initial, gain)
+        }
+    }
+
     /// Takes a sample in.
     pub(crate) fn add(&mut self, sample: f64) {
         self.samples = self.samples.saturating_add(1);
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::{
     Action, Router, Strategy,
     backend::{Backend, Peers},
+    candidates::Rank,
     flight::{Flight, Phase},
     health::State,
     server,
@@ -40,6 +41,7 @@
             self.backends.push(backend);
         }
         self.number_models();
+        self.rank_all(now);
         self.queued = 0;
         self.waiting.clear();
         self.observations
@@ -94,9 +96,11 @@
             return;
         };
         backend.leaving = leaving;
+        self.rank(now, server);
         if leaving {
             self.replace_queue(now, server, actions);
         } else {
+            let backend = &mut self.backends[server as usize];
             backend.cooling = Moment::ZERO;
             backend.strikes = 0;
             self.pump(now, server, actions);
@@ -116,6 +120,7 @@
                 backend.reachable = reachable;
             }
         }
+        self.rank_all(now);
         self.cut_off.retain(|known| *known != data_centre);
         if !reachable {
             self.cut_off.push(data_centre);
@@ -132,6 +137,7 @@
         if self.settings.strategy != Strategy::Jaystand {
             return;
         }
+        self.rank(now, server);
         let backend = &self.backends[server as usize];
         if !backend.health.should_eject(now, backend.peers.slowness) {
             return;
@@ -145,9 +151,21 @@
         }
         if f64::from(ejected + 1) <= f64::from(total) * EJECTED_PART {
             self.backends[server as usize].health.eject(now);
+            self.rank(now, server);
         }
     }
 
+    /// Brings a server's rank in step.
+    pub(crate) fn rank(&mut self, now: Moment, server: ServerId) {
+        self.ranks[server as usize] = Rank::new(now, &self.backends[server as usize]);
+    }
+
+    fn rank_all(&mut self, now: Moment) {
+        self.ranks.clear();
+        self.ranks
+            .extend(self.backends.iter().map(|backend| Rank::new(now, backend)));
+    }
+
     /// Updates what each server knows of its model's other servers, and lets ejected ones be probed.
     pub(crate) fn compare_peers(&mut self, now: Moment) {
         let models = self.backends.iter().map(|b| b.model + 1).max().unwrap_or(0);
@@ -164,6 +182,7 @@
                 backend.health.advance(now);
             }
         }
+        self.rank_all(now);
         let waits = |backend: &&Backend| matches!(backend.health.state(), State::Probation { .. });
         self.on_probation = self.backends.iter().filter(waits).count();
     }
--- a/crates/policy/src/flight.rs
+++ b/crates/policy/src/flight.rs
@@ -51,6 +51,8 @@
     pub(crate) long: bool,
     pub(crate) resume: bool,
     pub(crate) observed: Option<Moment>,
+    /// Prompt tokens of the hot prefix that the server was presumed to hold as a member of its group.
+    pub(crate) shared: f64,
     pub(crate) unobserved_home: bool,
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod admission;
 mod backend;
+mod baseline;
 mod budget;
+mod candidates;
 mod chain;
 mod estimate;
 mod event;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use jaystand_types::{Moment, RepeatRule, ServerId};
-use smallvec::SmallVec;
 
 use crate::{
-    Request, Settings, Strategy,
+    Request, Settings,
     backend::{Backend, Shape},
+    candidates::{Rank, Scored, Scratch},
     chain::Level,
     figure,
     health::State,
@@ -15,33 +15,14 @@
     observation::Observations,
 };
 
-/// Members of a group that are scored, in rendezvous order under the level that chooses the member.
-const MEMBERS: usize = 3;
-/// Holders of observed levels that are scored.
-const HOLDERS: usize = 6;
-/// Servers sampled for the least loaded ones. Sampling keeps daemons with the same reports from choosing the
-/// same idle server.
-const SAMPLE: usize = 16;
-const SAMPLE_SALT: u64 = 0x5bd1_e995;
-/// Levels that may narrow the group one after another.
-const GROUP_LEVELS: usize = 3;
-/// Likelihood that a member of a hot prefix's group holds it.
-const GROUP_HELD: f64 = 0.8;
 /// A missed token counts more than its own computation: it delays the requests behind it, too.
 const RECOMPUTE_WEIGHT: f64 = 1.5;
-/// The same for the servers that follow the group in its order, which take what overflows.
-const NEXT_HELD: f64 = 0.5;
-const OVERFLOW: usize = 2;
-/// What members are presumed to hold, relative to the first one. All daemons let a prefix overflow in the same
-/// order, so that it is computed on few servers.
-const RANK_HELD: [f64; MEMBERS] = [1.0, 0.3, 0.15];
-const HOME_ADVANTAGE: f64 = 1.3;
-/// A server without the prefix must win by this part of the best prefix holder's score, or by the least margin.
+/// A server must win by this part of the first candidate's score, or by the least margin. Without it, lagging
+/// reports would make all daemons move to the same server at once.
 const MARGIN_PART: f64 = 0.15;
 const LEAST_MARGIN: f64 = 0.01;
 /// Urgent requests go to a server on probation only if it wins by this factor.
 const PROBATION_PENALTY: f64 = 3.0;
-
 jaystand_types::common! { value
     /// Why a server is a candidate.
     pub enum Source {
@@ -85,12 +66,23 @@
     pub(crate) shape: Shape,
     pub(crate) avoid: &'a [ServerId],
     pub(crate) scale: Scale,
-    /// Part of a prompt that the first member of a cold group has been found to hold.
+    /// Part of a hot prefix that members of its group have been found to hold.
+    pub(crate) group_held: f64,
+    /// Part of the prompt after the hot prefix that the first member has been found to hold.
     pub(crate) home_held: f64,
     /// Seconds above the expected first token at which it counts as late.
     pub(crate) margin: f64,
 }
 
+impl Query<'_> {
+    /// Prompt tokens up to the end of a level.
+    pub(crate) fn tokens_to(&self, level: &Level) -> f64 {
+        let levels = self.request.chain.levels();
+        let end = levels.last().map_or(1, |level| level.end.max(1));
+        f64::from(self.request.prompt_tokens) * f64::from(level.end) / f64::from(end)
+    }
+}
+
 /// The chosen server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
@@ -102,6 +94,8 @@
     pub(crate) missed: f64,
     /// Age of the observation that the choice relies on.
     pub(crate) observed: Option<Moment>,
+    /// Prompt tokens up to the end of the deepest hot level, if the server was chosen as a member.
+    pub(crate) shared: f64,
     /// The server is the first member, and nothing was observed about it.
     pub(crate) unobserved_home: bool,
 }
@@ -110,38 +104,13 @@
 pub(crate) struct View<'a> {
     pub(crate) settings: &'a Settings,
     pub(crate) backends: &'a [Backend],
+    pub(crate) ranks: &'a [Rank],
     pub(crate) observations: &'a Observations,
     pub(crate) heat: &'a Heat,
 }
 
-/// Buffers that are kept between decisions.
-#[derive(Debug, Default)]
-pub(crate) struct Scratch {
-    allowed: Vec<Ranked>,
-    group: Vec<Ranked>,
-    candidates: Vec<Scored>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Ranked {
-    weight: u64,
-    server: ServerId,
-}
-
-/// Servers with their rendezvous weights, greatest first.
-type Overflow = SmallVec<[(u64, ServerId); 4]>;
-
-#[derive(Clone, Copy, Debug)]
-struct Scored {
-    server: ServerId,
-    source: Source,
-    held: f64,
-    observed: Option<Moment>,
-    rank: usize,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
-struct Terms {
+pub(crate) struct Terms {
     wait: f64,
     ahead: f64,
     prefill: f64,
@@ -174,7 +143,16 @@
                 total + margin
             };
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                best = Some((score, choice(scored, terms)));
+                let shared = if scored.source == Source::Member {
+                    scratch.shared
+                } else {
+                    0.0
+                };
+                let choice = Choice {
+                    shared,
+                    ..choice(scored, terms)
+                };
+                best = Some((score, choice));
             }
         }
         best.map(|(_, choice)| choice)
@@ -207,7 +185,6 @@
     /// The terms of a given server, with what is observed of it.
     pub(crate) fn evaluate(&self, query: &Query<'_>, server: ServerId) -> Choice {
         let levels = query.request.chain.levels();
-        let end = levels.last().map_or(1, |level| level.end.max(1));
         let epoch = self.backends[server as usize].epoch;
         let mut scored = Scored {
             server,
@@ -224,7 +201,7 @@
             if let Some(holder) = holder {
                 let age = query.now.saturating_sub(holder.seen);
                 let retained = self.backends[server as usize].retained(age);
-                scored.held = self.tokens_to(query, level, end) * retained;
+                scored.held = query.tokens_to(level) * retained;
                 scored.observed = Some(holder.seen);
                 break;
             }
@@ -259,137 +236,7 @@
         list
     }
 
-    /// Collects the candidates, the likeliest prefix holder first.
-    fn gather(&self, query: &Query<'_>, scratch: &mut Scratch) {
-        scratch.candidates.clear();
-        self.allow(query, scratch);
-        if scratch.allowed.is_empty() {
-            return;
-        }
-        self.add_members(query, scratch);
-        self.add_holders(query, scratch);
-        self.add_least_loaded(query, scratch);
-        // The margin protects the first one. All daemons prefer the home to other holders, so that they agree.
-        scratch.candidates.sort_by(|a, b| {
-            protected(b)
-                .total_cmp(&protected(a))
-                .then(a.rank.cmp(&b.rank))
-        });
-    }
-
-    /// The servers that may take the request; those to avoid or ejected only when there are no others.
-    fn allow(&self, query: &Query<'_>, scratch: &mut Scratch) {
-        let passes: [fn(&Backend, bool) -> bool; 2] = [
-            |backend, avoided| !avoided && !matches!(backend.health.state(), State::Ejected { .. }),
-            |_, _| true,
-        ];
-        for pass in passes {
-            scratch.allowed.clear();
-            for &server in query.request.servers.iter() {
-                let Some(backend) = self.backends.get(server as usize) else {
-                    continue;
-                };
-                if backend.eligible() && pass(backend, query.avoid.contains(&server)) {
-                    scratch.allowed.push(Ranked { weight: 0, server });
-                }
-            }
-            if !scratch.allowed.is_empty() {
-                return;
-            }
-        }
-    }
-
-    /// Shallow hot levels narrow the group, the first cold level orders its members.
-    fn add_members(&self, query: &Query<'_>, scratch: &mut Scratch) {
-        let levels = query.request.chain.levels();
-        let end = levels.last().map_or(1, |level| level.end.max(1));
-        scratch.group.clone_from(&scratch.allowed);
-        let mut shared = 0.0;
-        let mut next = Overflow::new();
-        let mut anchor = query.request.id;
-        let mut narrowed = 0;
-        for level in levels {
-            anchor = level.hash;
-            let servers = self.heat.servers(query.now, level, query.scale);
-            if servers < 2 {
-                break;
-            }
-            shared = self.tokens_to(query, level, end) * GROUP_HELD;
-            if narrowed < GROUP_LEVELS && servers < scratch.group.len() {
-                next = self.narrow(&mut scratch.group, level.hash, servers);
-                narrowed += 1;
-            }
-        }
-        let members = self.first_members(&scratch.group, anchor);
-        let prompt = f64::from(query.request.prompt_tokens);
-        for (rank, server) in members.into_iter().enumerate() {
-            let home = if levels.is_empty() {
-                0.0
-            } else {
-                query.home_held * prompt * RANK_HELD[rank]
-            };
-            scratch.candidates.push(Scored {
-                server,
-                source: Source::Member,
-                held: shared.max(home),
-                observed: None,
-                rank,
-            });
-        }
-        for (_, server) in next {
-            add(scratch, server, Source::Member, shared * NEXT_HELD, None);
-        }
-    }
-
-    fn add_holders(&self, query: &Query<'_>, scratch: &mut Scratch) {
-        let levels = query.request.chain.levels();
-        let end = levels.last().map_or(1, |level| level.end.max(1));
-        let mut found = 0;
-        for level in levels.iter().rev() {
-            for holder in self.observations.holders(level).iter().rev() {
-                let Some(backend) = self.backends.get(holder.server as usize) else {
-                    continue;
-                };
-                let allowed = scratch.allowed.iter().any(|r| r.server == holder.server);
-                if holder.epoch != backend.epoch || !allowed {
-                    continue;
-                }
-                let age = query.now.saturating_sub(holder.seen);
-                let held = self.tokens_to(query, level, end) * backend.retained(age);
-                add(
-                    scratch,
-                    holder.server,
-                    Source::Holder,
-                    held,
-                    Some(holder.seen),
-                );
-                found += 1;
-            }
-            if found >= HOLDERS {
-                return;
-            }
-        }
-    }
-
-    fn add_least_loaded(&self, query: &Query<'_>, scratch: &mut Scratch) {
-        let total = scratch.allowed.len();
-        let start = figure::index(figure::mix(query.request.id, SAMPLE_SALT), total);
-        let mut least: SmallVec<[(f64, ServerId); 2]> = SmallVec::new();
-        for offset in 0..SAMPLE.min(total) {
-            let server = scratch.allowed[(start + offset) % total].server;
-            let occupancy = self.backends[server as usize].occupancy(query.now);
-            let position = least.partition_point(|(load, _)| *load <= occupancy);
-            if position < 2 {
-                least.truncate(1);
-                least.insert(position.min(least.len()), (occupancy, server));
-            }
-        }
-        for (_, server) in least {
-            add(scratch, server, Source::LeastLoaded, 0.0, None);
-        }
-    }
-
-    fn terms(&self, query: &Query<'_>, scored: &Scored) -> Terms {
+    pub(crate) fn terms(&self, query: &Query<'_>, scored: &Scored) -> Terms {
         let backend = &self.backends[scored.server as usize];
         let prompt = f64::from(query.request.prompt_tokens);
         let missed = (prompt - scored.held).max(0.0);
@@ -418,130 +265,16 @@
             health: (prefill + ahead) * (slowness - 1.0).max(0.0) + stalled,
         }
     }
-
-    /// Keeps the first servers of the rendezvous order of a level; gives the ones after them.
-    fn narrow(&self, group: &mut Vec<Ranked>, hash: u64, servers: usize) -> Overflow {
-        for ranked in group.iter_mut() {
-            ranked.weight = figure::mix(hash, self.backends[ranked.server as usize].key);
-        }
-        group.select_nth_unstable_by_key(servers - 1, |ranked| {
-            (std::cmp::Reverse(ranked.weight), ranked.server)
-        });
-        let mut next = Overflow::new();
-        for ranked in &group[servers..] {
-            insert_first(&mut next, OVERFLOW, ranked.weight, ranked.server);
-        }
-        group.truncate(servers);
-        next
-    }
-
-    fn first_members(&self, group: &[Ranked], hash: u64) -> SmallVec<[ServerId; MEMBERS]> {
-        let mut first = Overflow::new();
-        for ranked in group {
-            let weight = figure::mix(hash, self.backends[ranked.server as usize].key);
-            insert_first(&mut first, MEMBERS, weight, ranked.server);
-        }
-        first.into_iter().map(|(_, server)| server).collect()
-    }
-
-    #[allow(clippy::unused_self, reason = "reads as a term of the score")]
-    fn tokens_to(&self, query: &Query<'_>, level: &Level, end: u32) -> f64 {
-        f64::from(query.request.prompt_tokens) * f64::from(level.end) / f64::from(end)
-    }
-
-    /// The server that a baseline strategy chooses; `turn` counts its requests.
-    pub(crate) fn place_baseline(
-        &self,
-        query: &Query<'_>,
-        turn: u64,
-        scratch: &mut Scratch,
-    ) -> Option<Choice> {
-        scratch.candidates.clear();
-        self.allow(query, scratch);
-        let allowed = &scratch.allowed;
-        let server = match self.settings.strategy {
-            Strategy::HashOnly | Strategy::Jaystand => {
-                let levels = query.request.chain.levels();
-                let hash = levels.first().map_or(query.request.id, |level| level.hash);
-                self.first_members(allowed, hash).first().copied()
-            }
-            Strategy::LeastLoaded => {
-                let load = |ranked: &&Ranked| {
-                    let backend = &self.backends[ranked.server as usize];
-                    backend.occupancy(query.now)
-                };
-                let least = allowed.iter().min_by(|a, b| load(a).total_cmp(&load(b)));
-                least.map(|ranked| ranked.server)
-            }
-            Strategy::RoundRobin => {
-                let index = figure::index(turn, allowed.len());
-                allowed.get(index).map(|ranked| ranked.server)
-            }
-        }?;
-        let scored = Scored {
-            server,
-            source: Source::Baseline,
-            held: 0.0,
-            observed: None,
-            rank: 0,
-        };
-        Some(choice(&scored, self.terms(query, &scored)))
-    }
-}
-
-/// Held tokens, with the advantage of the first member.
-fn protected(scored: &Scored) -> f64 {
-    if scored.rank == 0 {
-        scored.held * HOME_ADVANTAGE
-    } else {
-        scored.held
-    }
-}
-
-/// Keeps the `most` servers of greatest weight in order.
-fn insert_first(first: &mut Overflow, most: usize, weight: u64, server: ServerId) {
-    let position = first.partition_point(|(known, _)| *known >= weight);
-    if position < most {
-        first.truncate(most - 1);
-        first.insert(position, (weight, server));
-    }
 }
 
-fn choice(scored: &Scored, terms: Terms) -> Choice {
+pub(crate) fn choice(scored: &Scored, terms: Terms) -> Choice {
     Choice {
         server: scored.server,
         wait: terms.wait,
         expected: terms.total(),
         missed: terms.missed,
         observed: scored.observed,
+        shared: 0.0,
         unobserved_home: scored.source == Source::Member && scored.rank == 0,
     }
 }
-
-fn add(
-    scratch: &mut Scratch,
-    server: ServerId,
-    source: Source,
-    held: f64,
-    observed: Option<Moment>,
-) {
-    let known = scratch.candidates.iter_mut().find(|c| c.server == server);
-    match known {
-        Some(known) if observed.is_some() && known.observed.is_none() => {
-            known.held = known.held.max(held);
-            known.source = source;
-            known.observed = observed;
-        }
-        Some(_) => {}
-        None => {
-            let rank = scratch.candidates.len();
-            scratch.candidates.push(Scored {
-                server,
-                source,
-                held,
-                observed,
-                rank,
-            });
-        }
-    }
-}
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -1,10 +1,12 @@
 //! Attempts from dispatch to the end, and what each step teaches.
 
-use jaystand_types::{Incarnation, Moment, RequestId};
+use jaystand_types::{Incarnation, Moment, RequestId, ServerId};
 
 use crate::{
     Action, Attempt, Router, Strategy,
     backend::LEAST_EXPECTED,
+    candidates::Rank,
+    chain::Level,
     figure,
     flight::{Flight, Phase, Running},
     observation::Holder,
@@ -54,12 +56,14 @@
             long: flight.long,
             resume,
             observed: choice.observed,
+            shared: choice.shared,
             unobserved_home: choice.unobserved_home,
         };
         flight.attempts.push(running);
         let tokens = backend.pending_tokens + choice.missed;
         backend.enter(now, flight.long);
         backend.pending_tokens += pending;
+        self.ranks[choice.server as usize] = Rank::new(now, backend);
         let left = flight.request.deadline.saturating_sub(now);
         let first_token_deadline = backend
             .latency
@@ -123,29 +127,23 @@
         backend.pending_tokens = (backend.pending_tokens + missed - running.pending).max(0.0);
         running.pending = missed;
         running.missed = missed;
-        let (server, epoch, observed) = (running.server, backend.epoch, running.observed);
-        let unobserved_home = running.unobserved_home;
+        let observed = running.observed;
+        let (shared, unobserved_home) = (running.shared, running.unobserved_home);
         if let Some(seen) = observed {
             backend.observe_retention(now.saturating_sub(seen), held);
         }
-        let levels = flight.request.chain.levels();
-        if unobserved_home && !levels.is_empty() && prompt > 0.0 {
-            let part = (f64::from(cached_tokens) / prompt).min(1.0);
-            self.home_held.add(part);
-        }
-        if levels.is_empty() {
+        if flight.request.chain.levels().is_empty() {
             return;
         }
-        let scale = self.scale(&self.flights[&id].request);
-        let levels = self.flights[&id].request.chain.levels();
-        let hot = |level: &&crate::chain::Level| self.heat.servers(now, level, scale) > 1;
-        let anchor = levels.iter().take_while(hot).count();
-        let holder = Holder {
-            server,
-            epoch,
-            seen: now,
-        };
-        self.observations.record(levels, anchor, holder);
+        let cached = f64::from(cached_tokens);
+        if shared > 0.0 {
+            self.group_held.add((cached / shared).min(1.0));
+        }
+        let rest = prompt - shared;
+        if unobserved_home && rest > 0.0 {
+            self.home_held
+                .add(((cached - shared) / rest).clamp(0.0, 1.0));
+        }
     }
 
     /// The first token of an attempt has arrived; attempts that raced it are cancelled.
@@ -171,6 +169,7 @@
         running.pending = 0.0;
         if !seen.detached {
             self.learn_first_token(now, &seen);
+            self.record_holder(now, id, seen.server);
         }
         self.cancel_others(now, id, attempt, actions);
         if !seen.detached {
@@ -178,6 +177,24 @@
         }
     }
 
+    /// Records that a server has computed a prompt and so holds its prefix.
+    fn record_holder(&mut self, now: Moment, id: RequestId, server: ServerId) {
+        let request = &self.flights[&id].request;
+        let levels = request.chain.levels();
+        if levels.is_empty() {
+            return;
+        }
+        let scale = self.scale(request);
+        let hot = |level: &&Level| self.heat.servers(now, level, scale) > 1;
+        let anchor = levels.iter().take_while(hot).count();
+        let holder = Holder {
+            server,
+            epoch: self.backends[server as usize].epoch,
+            seen: now,
+        };
+        self.observations.record(levels, anchor, holder);
+    }
+
     fn learn_first_token(&mut self, now: Moment, running: &Running) {
         let backend = &mut self.backends[running.server as usize];
         backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
@@ -304,6 +321,7 @@
             backend.overdue -= u32::from(running.late);
         }
         backend.leave(now, running.long);
+        self.rank(now, running.server);
     }
 
     fn cancel_others(
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -24,6 +24,8 @@
     pub(crate) long: bool,
     pub(crate) team: usize,
     pub(crate) since: Moment,
+    /// Prompt tokens that it is expected to compute.
+    pub(crate) missed: f64,
     /// Order of arrival.
     pub(crate) sequence: u64,
 }
@@ -43,11 +45,13 @@
 pub(crate) struct Queue {
     entries: Vec<Entry>,
     counts: [u32; CLASSES],
+    tokens: [f64; CLASSES],
 }
 
 impl Queue {
     pub(crate) fn push(&mut self, entry: Entry) {
         self.counts[entry.class] += 1;
+        self.tokens[entry.class] += entry.missed;
         self.entries.push(entry);
     }
 
@@ -80,6 +84,11 @@
         self.counts[..=class].iter().sum()
     }
 
+    /// Prompt tokens that they are expected to compute.
+    pub(crate) fn tokens_ahead_of(&self, class: usize) -> f64 {
+        self.tokens[..=class].iter().sum()
+    }
+
     pub(crate) fn entries(&self) -> &[Entry] {
         &self.entries
     }
@@ -94,12 +103,29 @@
 
     pub(crate) fn drain(&mut self) -> Vec<Entry> {
         self.counts = [0; CLASSES];
+        self.tokens = [0.0; CLASSES];
         std::mem::take(&mut self.entries)
     }
 
+    /// Removes the requests of the most urgent class.
+    pub(crate) fn drain_urgent(&mut self) -> Vec<Entry> {
+        let urgent = self
+            .entries
+            .extract_if(.., |entry| entry.class == 0)
+            .collect();
+        self.counts[0] = 0;
+        self.tokens[0] = 0.0;
+        urgent
+    }
+
     fn take(&mut self, index: usize) -> Entry {
         let entry = self.entries.swap_remove(index);
         self.counts[entry.class] -= 1;
+        self.tokens[entry.class] -= entry.missed;
+        if self.counts[entry.class] == 0 {
+            // Rounding errors must not add up.
+            self.tokens[entry.class] = 0.0;
+        }
         entry
     }
 }
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -23,6 +23,8 @@
 /// A server that cannot be connected to is left alone for this time, doubled with each failure in a row.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_UNREACHED_PAUSE: Duration = Duration::from_secs(5);
+/// Time after which a hedge that found no room, or no budget, is tried again.
+const HEDGE_PAUSE: Duration = Duration::from_millis(50);
 /// Slowness counted against a server that answers with an error.
 const ERROR_SLOWNESS: f64 = 4.0;
 
@@ -186,7 +188,12 @@
         let Some(running) = flight.running_mut(attempt) else {
             return;
         };
-        if running.first_token || running.late || running.resume || running.detached {
+        if running.first_token || running.resume || running.detached {
+            return;
+        }
+        if running.late {
+            let slow = running.server;
+            self.hedge(now, id, attempt, slow, actions);
             return;
         }
         let backend = &mut self.backends[running.server as usize];
@@ -204,10 +211,19 @@
         backend.health.observe(now, sample);
         backend.overdue += 1;
         self.eject_if_slow(now, running.server);
-        self.hedge(now, id, running.server, actions);
+        self.hedge(now, id, attempt, running.server, actions);
+        self.replace_urgent(now, running.server, actions);
     }
 
-    fn hedge(&mut self, now: Moment, id: RequestId, slow: ServerId, actions: &mut Vec<Action>) {
+    /// Sends a second attempt that races a late one, now or as soon as another server has room.
+    fn hedge(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        late: Attempt,
+        slow: ServerId,
+        actions: &mut Vec<Action>,
+    ) {
         let flight = &self.flights[&id];
         let may_hedge = self.settings.strategy == Strategy::Jaystand
             && flight.request.urgency == Urgency::Urgent
@@ -229,7 +245,9 @@
             return;
         };
         let backend = &self.backends[choice.server as usize];
-        if !backend.admits(now, shape, &self.settings) || !self.hedges.spend() {
+        let room = backend.admits(now, shape, choice.missed, &self.settings);
+        if !room || !self.hedges.spend() {
+            self.timers.push(now + HEDGE_PAUSE, Due::Late(id, late));
             return;
         }
         if let Some(flight) = self.flights.get_mut(&id) {
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,13 +9,14 @@
     Action, Event, Fleet, Request,
     backend::{Backend, Shape},
     budget::Budget,
+    candidates::{Rank, Scratch},
     estimate::Estimate,
     figure,
     flight::Flight,
     heat::{Heat, Scale},
     latency::Lateness,
     observation::Observations,
-    placement::{Query, Scratch, View},
+    placement::{Query, View},
     queue,
     tenant::{Tenants, Typical},
     timer::{Due, Timers},
@@ -33,15 +34,22 @@
 const RETRY_BURST: f64 = 32.0;
 /// Hedges allowed at once; more would be load that the servers did not have before they slowed down.
 const HEDGE_BURST: f64 = 6.0;
-/// Part of a prompt that the home of an unobserved prefix is presumed to hold, before it is measured.
-const INITIAL_HOME_HELD: f64 = 0.5;
-const HOME_HELD_GAIN: f64 = 0.02;
+/// Part of a hot prefix that the members of its group are presumed to hold, before it is measured.
+const INITIAL_GROUP_HELD: f64 = 0.95;
+/// Part of the rest of a prompt that the first member is presumed to hold, before it is measured.
+const INITIAL_HOME_HELD: f64 = 0.6;
+const HELD_GAIN: f64 = 0.02;
+/// Part of the way back that both presumptions drift in each housekeeping. Presumed too low, members are not
+/// chosen, and nothing would correct them.
+const HELD_DRIFT: f64 = 0.05;
 
 /// The request decisions of one daemon.
 pub struct Router {
     pub(crate) settings: Settings,
     pub(crate) random: Pcg64Mcg,
     pub(crate) backends: Vec<Backend>,
+    /// One for each server, kept in step with it.
+    pub(crate) ranks: Vec<Rank>,
     pub(crate) cut_off: Vec<DataCentre>,
     pub(crate) daemons: u32,
     pub(crate) tenants: Tenants,
@@ -50,6 +58,7 @@
     pub(crate) timers: Timers,
     pub(crate) observations: Observations,
     pub(crate) heat: Heat,
+    pub(crate) group_held: Estimate,
     pub(crate) home_held: Estimate,
     pub(crate) lateness: Lateness,
     pub(crate) retries: Budget,
@@ -60,6 +69,8 @@
     /// Servers that wait for a probe, at the latest comparison.
     pub(crate) on_probation: usize,
     pub(crate) sequence: u64,
+    /// The server that was offered waiting work last.
+    pub(crate) reviewed: usize,
     pub(crate) latest_urgent: Option<Moment>,
     pub(crate) scratch: Scratch,
     kept: Moment,
@@ -72,6 +83,7 @@
         Self {
             random: Pcg64Mcg::seed_from_u64(seed),
             backends: Vec::new(),
+            ranks: Vec::new(),
             cut_off: Vec::new(),
             daemons: 1,
             tenants: Tenants::default(),
@@ -80,7 +92,8 @@
             timers: Timers::default(),
             observations: Observations::new(),
             heat: Heat::new(),
-            home_held: Estimate::new(INITIAL_HOME_HELD, HOME_HELD_GAIN),
+            group_held: Estimate::trusted(INITIAL_GROUP_HELD, HELD_GAIN),
+            home_held: Estimate::trusted(INITIAL_HOME_HELD, HELD_GAIN),
             lateness: Lateness::new(),
             retries: Budget::new(settings.retry_share, RETRY_BURST),
             hedges: Budget::new(settings.hedge_share, HEDGE_BURST),
@@ -88,6 +101,7 @@
             waiting: Vec::new(),
             on_probation: 0,
             sequence: 0,
+            reviewed: 0,
             latest_urgent: None,
             scratch: Scratch::default(),
             kept: Moment::ZERO,
@@ -135,6 +149,7 @@
             Event::Load { server, report } => {
                 if let Some(backend) = self.backends.get_mut(server as usize) {
                     backend.observe_report(now, report);
+                    self.rank(now, server);
                 }
             }
             Event::Leaving { server } => self.set_leaving(now, server, true, actions),
@@ -204,6 +219,7 @@
         View {
             settings: &self.settings,
             backends: &self.backends,
+            ranks: &self.ranks,
             observations: &self.observations,
             heat: &self.heat,
         }
@@ -222,6 +238,7 @@
             shape,
             avoid,
             scale: self.scale(request),
+            group_held: self.group_held.mean(),
             home_held: self.home_held.mean(),
             margin: self.lateness.margin(),
         }
@@ -247,6 +264,8 @@
         if now >= self.kept + HOUSEKEEPING {
             self.kept = now;
             self.compare_peers(now);
+            self.group_held.move_towards(INITIAL_GROUP_HELD, HELD_DRIFT);
+            self.home_held.move_towards(INITIAL_HOME_HELD, HELD_DRIFT);
             self.review_queues(now, actions);
             let flights = &self.flights;
             let is_live = |request| flights.contains_key(&request);
--- a/crates/policy/tests/scenarios.rs
+++ b/crates/policy/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Scripted scenarios: each file in `scenarios/` names the failure that it guards against.
 //!
-//! `JAYSTAND_MEASURES=jaystand,round-robin` prints every measure of every traffic under these policies.
+//! `JAYSTAND_MEASURES=jaystand,round-robin` prints every measure of every traffic under these policies,
+//! `JAYSTAND_SEED=2` takes another seed.
 #![allow(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
@@ -92,6 +93,7 @@
     demand_swing
     long_beside_urgent
     hot_prefix_shift
+    hot_prompt_spread
     lagging_reports
     crash_and_restart
     cut_and_shift
--- a/crates/policy/tests/world/engine.rs
+++ b/crates/policy/tests/world/engine.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use jaystand_policy::Level;
 use jaystand_types::Moment;
 
 /// A piece of work on a server: the daemon, the request and the attempt.
@@ -76,17 +77,17 @@
         self.waiting.len()
     }
 
-    /// Bytes of the prompt that are cached; the whole prompt is cached afterwards.
-    pub fn lookup(&mut self, now: Moment, levels: &[jaystand_policy::Level]) -> u32 {
+    /// Bytes of the prompt that are cached.
+    pub fn lookup(&self, now: Moment, levels: &[Level]) -> u32 {
         let fresh = |used: &Moment| *used + self.cache_time > now;
-        let held = levels
-            .iter()
-            .rev()
-            .find(|level| self.cache.get(&level.hash).is_some_and(fresh));
-        let end = held.map_or(0, |level| level.end);
-        for level in levels {
-            self.cache.insert(level.hash, now);
-        }
+        let fresh = |level: &&Level| self.cache.get(&level.hash).is_some_and(fresh);
+        levels.iter().rev().find(fresh).map_or(0, |level| level.end)
+    }
+
+    /// Caches a computed prompt, evicting what was used longest ago.
+    pub fn store(&mut self, now: Moment, levels: &[Level]) {
+        self.cache
+            .extend(levels.iter().map(|level| (level.hash, now)));
         while self.cache.len() > self.cache_levels {
             let oldest = self
                 .cache
@@ -95,7 +96,6 @@
             let hash = *oldest.expect("not empty").0;
             self.cache.remove(&hash);
         }
-        end
     }
 
     /// When a prefill of that length that starts now ends.
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -164,7 +164,7 @@
     /// A figure of the world by name, with its default.
     fn figure(&self, name: &str) -> f64 {
         let default = match name {
-            "seed" | "report_lag_s" | "separate_long" => 1.0,
+            "report_lag_s" | "separate_long" => 1.0,
             "daemons" => 2.0,
             "servers" => 10.0,
             "slots" => 8.0,
@@ -184,7 +184,10 @@
     }
 
     fn build(&mut self) {
-        self.random = Pcg64Mcg::seed_from_u64(self.count("seed") as u64);
+        let seed = std::env::var("JAYSTAND_SEED")
+            .ok()
+            .and_then(|seed| seed.parse().ok());
+        self.random = Pcg64Mcg::seed_from_u64(seed.unwrap_or(1));
         let cache = Duration::from_secs_f64(self.figure("cache_s"));
         for _ in 0..self.count("servers") {
             self.engines.push(Engine::new(
--- a/crates/policy/tests/world/steps.rs
+++ b/crates/policy/tests/world/steps.rs
@@ -305,6 +305,7 @@
         let record = &mut self.records[request as usize];
         if first {
             record.first_token.get_or_insert(self.now);
+            self.engines[server].store(self.now, record.request.chain.levels());
             self.event(daemon, Event::FirstToken { request, attempt });
         } else {
             let tokens = CHUNK.min(record.answer.saturating_sub(record.received));
@@ -437,17 +438,19 @@
 
     pub fn measure(&self, measure: &Measure) -> f64 {
         let (from, to) = measure.window;
-        if measure.name == "dispatches" {
-            let server: usize = measure
-                .subject
-                .trim_start_matches('s')
-                .parse()
-                .expect("a server");
-            let sent = self
-                .dispatches
+        let sent = || {
+            self.dispatches
                 .iter()
-                .filter(|(at, s)| *s == server && *at >= from && *at < to);
-            return sent.count() as f64;
+                .filter(|(at, _)| *at >= from && *at < to)
+        };
+        if measure.name == "dispatches" {
+            let server = measure.subject.trim_start_matches('s').parse();
+            return sent().filter(|(_, s)| server == Ok(*s)).count() as f64;
+        }
+        if measure.name == "busiest" {
+            let of = |server| sent().filter(|(_, s)| *s == server).count();
+            let most = (0..self.engines.len()).map(of).max().unwrap_or(0);
+            return most as f64 / sent().count() as f64;
         }
         let of = |r: &&Record| {
             self.traffic[r.traffic].name == measure.subject
