Keep long work to half of a server's slots

Change: long work joins a server only while half of its slots are in use, others' load included. Tests of fair shares and of the limit on ejected servers. The periodic work is measured by micro.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -17,7 +17,7 @@
 /// Part of a window that long work may hold.
 const LONG_PART: f64 = 0.5;
 /// Part of a server's slots up to which long work may join.
-const LONG_FILL: f64 = 0.75;
+const LONG_FILL: f64 = 0.5;
 /// Part of a window that normal work leaves to urgent work; background work leaves twice as much.
 const RESERVED_PART: f64 = 0.125;
 /// Windows smaller than this reserve nothing: urgent work may exceed them by one instead.
--- a/crates/policy/src/candidates.rs
+++ b/crates/policy/src/candidates.rs
@@ -300,10 +300,15 @@
 }
 
 /// Keeps the `most` members of greatest weight in order.
+#[inline]
 fn insert_first(first: &mut First, most: usize, weighted: Weighted) {
-    if first.len() == most && first[most - 1].weight >= weighted.weight {
-        return;
+    // Most members fail here, so this part is inlined into the loops.
+    if first.len() < most || first[most - 1].weight < weighted.weight {
+        insert_in_order(first, most, weighted);
     }
+}
+
+fn insert_in_order(first: &mut First, most: usize, weighted: Weighted) {
     let position = first.partition_point(|known| known.weight >= weighted.weight);
     first.truncate(most - 1);
     first.insert(position, weighted);
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -212,3 +212,6 @@
     let middle = values.len() / 2;
     *values.select_nth_unstable_by(middle, f64::total_cmp).1
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -297,6 +297,43 @@
         }
     }
 
+    /// Guards against a team that crowds out others: under contention service follows the weights.
+    #[test]
+    fn service_follows_weights(weights in prop::array::uniform3(1_u32..5)) {
+        let mut fleet = fleet(0);
+        fleet.shares = (1..4).map(|team| team::Share {
+            team: format!("t{team}").into(),
+            weight: NonZeroU32::new(weights[team - 1]).expect("positive"),
+        }).collect();
+        let settings = Settings { queue: 100, ..settings(Policy::Jaystand) };
+        let mut router = Router::new(settings, 1);
+        router.configure(Moment::ZERO, fleet);
+        let mut actions = Vec::new();
+        for id in 0..20 {
+            for team in 1..4_u8 {
+                let mut request = request(id * 4 + u64::from(team), Moment::ZERO, 0);
+                request.team = format!("t{team}").into();
+                request.servers = Arc::from([0]);
+                request.deadline = Duration::from_secs(10_000);
+                router.handle(Moment::ZERO, Event::Submit(request), &mut actions);
+            }
+        }
+        let mut served = [0_u32; 3];
+        for turn in 0..30 {
+            let Some(Action::Dispatch { request, attempt, .. }) = actions.get(turn).cloned() else {
+                break;
+            };
+            served[usize::try_from(request % 4).expect("small") - 1] += 1;
+            router.handle(Moment::ZERO, Event::Finished { request, attempt, tokens: 40 }, &mut actions);
+        }
+        let total: u32 = weights.iter().sum();
+        for (weight, served) in weights.iter().zip(served) {
+            let due = 30.0 * f64::from(*weight) / f64::from(total);
+            let due = due.min(20.0);
+            prop_assert!((f64::from(served) - due).abs() <= 4.0, "{weights:?}: {served} of {due}");
+        }
+    }
+
     /// Guards against one team, model, adapter or weights version reading another's cache entries.
     #[test]
     fn identities_share_no_level(
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -92,6 +92,7 @@
     script: Arc<Script>,
     figures: BTreeMap<String, f64>,
     policy: Strategy,
+    separate_long: bool,
     now: Moment,
     end: Moment,
     random: Pcg64Mcg,
@@ -135,12 +136,13 @@
             script: Arc::clone(script),
             figures: figures.collect(),
             policy: match policy {
-                "jaystand" => Strategy::Jaystand,
+                "jaystand" | "unseparated" => Strategy::Jaystand,
                 "hash-only" => Strategy::HashOnly,
                 "least-loaded" => Strategy::LeastLoaded,
                 "round-robin" => Strategy::RoundRobin,
                 _ => panic!("unknown policy {policy}"),
             },
+            separate_long: policy != "unseparated",
             now: Moment::ZERO,
             end: duration(&script.starting_with("run").next().expect("a run line")[0]),
             random: Pcg64Mcg::seed_from_u64(0),
@@ -164,7 +166,7 @@
     /// A figure of the world by name, with its default.
     fn figure(&self, name: &str) -> f64 {
         let default = match name {
-            "report_lag_s" | "separate_long" => 1.0,
+            "report_lag_s" => 1.0,
             "daemons" => 2.0,
             "servers" => 10.0,
             "slots" => 8.0,
@@ -221,7 +223,7 @@
         let settings = Settings {
             strategy: self.policy,
             data_centre: self.data_centre(daemon),
-            separate_long: self.figure("separate_long") > 0.0,
+            separate_long: self.separate_long,
             ..Settings::default()
         };
         let mut router = Router::new(settings, self.random.random());
--- a/crates/policy/tests/world/script.rs
+++ b/crates/policy/tests/world/script.rs
@@ -2,7 +2,8 @@
 //!
 //! ```text
 //! set servers 10                       a figure of the world, see `World::figure`
-//! policy least-loaded                  the strategy of all daemons
+//! policy least-loaded                  the strategy of all daemons; `unseparated` is jaystand without the
+//!                                      separation of long work
 //! traffic chat urgent repeatable rate=50 prompts=4 system=2000 turn=200 answer=50 deadline=20s
 //! at 5s crash s3                       an event, see `World::apply`
 //! run 20s                              submissions end here; the world then settles
--- a/crates/standin/src/bench/micro.rs
+++ b/crates/standin/src/bench/micro.rs
@@ -259,6 +259,12 @@
     /// Lets time pass and the oldest requests end; gives the time of the periodic work when it was due.
     fn advance(&mut self) -> Option<Duration> {
         self.now += STEP;
+        let due = self.router.next_wake().is_some_and(|wake| wake <= self.now);
+        let tick = due.then(|| {
+            let start = Instant::now();
+            self.handle(Event::Tick);
+            start.elapsed()
+        });
         while let Some((request, attempt)) = self.sent.pop_front() {
             let prompt = u32::from(self.size.levels) * PIECE_TOKENS;
             let cached_tokens = prompt.saturating_sub(PIECE_TOKENS);
@@ -273,19 +279,16 @@
             self.running.push_back((request, attempt));
         }
         while self.running.len() > self.size.in_flight {
-            let (request, attempt) = self.running.pop_front()?;
+            let Some((request, attempt)) = self.running.pop_front() else {
+                break;
+            };
             self.handle(Event::Finished {
                 request,
                 attempt,
                 tokens: 50,
             });
         }
-        let due = self.router.next_wake().is_some_and(|wake| wake <= self.now);
-        due.then(|| {
-            let start = Instant::now();
-            self.handle(Event::Tick);
-            start.elapsed()
-        })
+        tick
     }
 
     fn handle(&mut self, event: Event) {
