Let servers on probation be probed beside long work

A server on probation took one request at a time, and a long one kept it for seconds while jobs waited in its queue. Change: probation counts only attempts without a first token, the wait at such a server is estimated for one request at a time, and its short queue is placed again in each review.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,8 @@
 /// Queues looked at, and requests in each, when a server with room takes over waiting work.
 const STEAL_QUEUES: usize = 4;
 const STEAL_ENTRIES: usize = 4;
+/// Longest queue of a server on probation that is placed again in a review; of longer ones, only urgent work.
+const REPLACED_REQUESTS: usize = 64;
 /// Servers offered waiting work in each review; the next review goes on from there.
 const REVIEWED_SERVERS: usize = 64;
 /// Retry-After when a limit on requests in flight is reached, in seconds.
@@ -163,7 +165,10 @@
         for server in self.waiting.clone() {
             self.refuse_late(now, server, actions);
             let backend = &self.backends[server as usize];
-            if backend.overdue > 0 || backend.health.state() != State::Open {
+            let held_back = backend.health.state() != State::Open;
+            if held_back && backend.queue.len() <= REPLACED_REQUESTS {
+                self.replace_queue(now, server, actions);
+            } else if held_back || backend.overdue > 0 {
                 self.replace_urgent(now, server, actions);
             }
         }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -74,6 +74,8 @@
     pub(crate) strikes: u32,
     pub(crate) in_flight: u32,
     pub(crate) long_in_flight: u32,
+    /// Attempts without a first token yet.
+    pub(crate) awaiting: u32,
     /// Prompt tokens that own requests still have to compute there.
     pub(crate) pending_tokens: f64,
     /// Attempts whose first token is late by now.
@@ -111,6 +113,7 @@
             strikes: 0,
             in_flight: 0,
             long_in_flight: 0,
+            awaiting: 0,
             pending_tokens: 0.0,
             overdue: 0,
             window,
@@ -186,7 +189,7 @@
             return self.spec.slots.max(1).saturating_sub(self.in_flight);
         }
         if self.health.state() != State::Open {
-            return 1_u32.saturating_sub(self.in_flight);
+            return 1_u32.saturating_sub(self.awaiting);
         }
         if shape.long && settings.separate_long && !self.admits_long(now) {
             return 0;
@@ -259,7 +262,12 @@
         let ahead = self.queue.ahead_of(class);
         let free = self.free_slots(now, shape, settings);
         let turns = f64::from((ahead + 1).saturating_sub(free));
-        let slots = turns * service / self.window.size();
+        let width = if self.health.state() == State::Open {
+            self.window.size()
+        } else {
+            1.0
+        };
+        let slots = turns * service / width;
         let prefill = self.queue.tokens_ahead_of(class) * self.latency.prefill();
         cooling + contention.max(slots).max(prefill)
     }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -168,7 +168,7 @@
         let waits = |server: &&ServerId| {
             let backend = self.backends.get(**server as usize);
             backend.is_some_and(|backend| {
-                let idle = backend.in_flight == 0 && backend.queue.is_empty();
+                let idle = backend.awaiting == 0 && backend.queue.is_empty();
                 idle && backend.eligible() && backend.health.wants_probe(query.now, urgent)
             })
         };
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -63,6 +63,7 @@
         let tokens = backend.pending_tokens + choice.missed;
         backend.enter(now, flight.long);
         backend.pending_tokens += pending;
+        backend.awaiting += 1;
         self.ranks[choice.server as usize] = Rank::new(now, backend);
         let left = flight.request.deadline.saturating_sub(now);
         let first_token_deadline = backend
@@ -199,6 +200,7 @@
         let backend = &mut self.backends[running.server as usize];
         backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
         backend.overdue -= u32::from(running.late);
+        backend.awaiting -= 1;
         if running.resume {
             return;
         }
@@ -319,6 +321,7 @@
         if !running.first_token {
             backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
             backend.overdue -= u32::from(running.late);
+            backend.awaiting -= 1;
         }
         backend.leave(now, running.long);
         self.rank(now, running.server);
