Count failed connections once and give less urgent work more time

Cause: all streams of a crashed server fail to reconnect together, which counted as many failures in a row and closed the server for 5 s at once. Change: connection failures during a pause do not lengthen it; the floor of the first-token deadline is 2 and 4 times as long for normal and background work; long work is not used as a probe; a test of divided limits.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -161,7 +161,7 @@
     /// A server on probation that this request may probe. Nothing else would bring it back: what it held has
     /// moved to others.
     pub(crate) fn probe(&self, query: &Query<'_>) -> Option<ServerId> {
-        if query.request.repeat != RepeatRule::Repeatable {
+        if query.request.repeat != RepeatRule::Repeatable || query.shape.long {
             return None;
         }
         let urgent = query.shape.class == 0;
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -19,6 +19,8 @@
 const KEPT_PART: f64 = 0.5;
 /// Service that a request costs its team on top of its answer, in tokens.
 const BASE_CHARGE: f64 = 32.0;
+/// Times the least time until the first token, by urgency class: engines let less urgent work wait.
+const FLOOR_FACTORS: [u32; queue::CLASSES] = [1, 2, 4];
 /// Prompt tokens cost this part of an answer token: they are computed many at a time.
 const PROMPT_CHARGE: f64 = 0.02;
 
@@ -65,16 +67,17 @@
         backend.pending_tokens += pending;
         backend.awaiting += 1;
         self.ranks[choice.server as usize] = Rank::new(now, backend);
+        let class = queue::class(flight.request.urgency);
+        let floor = self.settings.first_token_floor * FLOOR_FACTORS[class];
         let left = flight.request.deadline.saturating_sub(now);
         let first_token_deadline = backend
             .latency
-            .first_token_deadline(tokens, self.settings.first_token_floor)
+            .first_token_deadline(tokens, floor)
             .min(left);
         let token_deadline = backend.latency.token_deadline(self.settings.token_floor);
         let late = backend.expected_first_token(tokens) + self.lateness.margin();
         let late = now + figure::duration(late);
         self.timers.push(late, Due::Late(id, running.number));
-        let class = queue::class(flight.request.urgency);
         if flight.charged == 0.0 {
             flight.charged = flight.predicted
                 + BASE_CHARGE
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -93,9 +93,12 @@
         let backend = &mut self.backends[running.server as usize];
         match failure {
             Failure::NotSent => {
-                let pause = UNREACHED_PAUSE * 2_u32.pow(backend.strikes.min(10));
-                backend.strikes += 1;
-                backend.cooling = now + pause.min(LONGEST_UNREACHED_PAUSE);
+                // Attempts that fail together count once.
+                if now >= backend.cooling {
+                    let pause = UNREACHED_PAUSE * 2_u32.pow(backend.strikes.min(10));
+                    backend.strikes += 1;
+                    backend.cooling = now + pause.min(LONGEST_UNREACHED_PAUSE);
+                }
             }
             Failure::Refused { retry_after } => {
                 backend.window.shrink(now);
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, num::NonZeroU32, sync::Arc, time::Duration};
 
 use jaystand_policy::{
-    Action, Chain, Event, Failure, Fleet, Request, Router, Salt,
+    Action, Chain, Event, Failure, Fleet, Refusal, Request, Router, Salt,
     router::{Settings, Strategy as Policy},
     server, team,
 };
@@ -277,6 +277,31 @@
     ]
 }
 
+/// Guards against daemons that each grant the whole limit of a deployment.
+#[test]
+fn limits_are_divided_by_the_live_daemons() {
+    let mut router = Router::new(settings(Policy::Jaystand), 1);
+    router.configure(Moment::ZERO, fleet(0));
+    let mut actions = Vec::new();
+    router.handle(Moment::ZERO, Event::Daemons { live: 2 }, &mut actions);
+    for id in 0..3 {
+        // Pick 0 is of team t0, whose limit is four requests in flight.
+        router.handle(
+            Moment::ZERO,
+            Event::Submit(request(id, Moment::ZERO, 0)),
+            &mut actions,
+        );
+    }
+    let refused = Action::Refuse {
+        request: 2,
+        reason: Refusal::TeamLimit,
+        retry_after: Duration::from_secs(2),
+        outcome: Outcome::NotRun,
+    };
+    assert_eq!(actions.last(), Some(&refused));
+    assert_eq!(router.requests(), 2);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
