Test that a new incarnation voids observations

Cause: of seven faults put into the router on purpose, two were not caught: epochs that never change, and a missing deadline timer, which let the property test run without end. A third, a refusal that claims not to have run after the answer had begun, is outside of what the test's servers do and stays uncaught. Change: a test of incarnations; the property test fails when requests outlive their deadlines.

--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -4,7 +4,7 @@
 
 use jaystand_policy::{
     Action, Chain, Event, Failure, Fleet, Refusal, Request, Router, Salt,
-    router::{Settings, Strategy as Policy},
+    router::{Settings, Source, Strategy as Policy},
     server, team,
 };
 use jaystand_types::{Moment, Outcome, RepeatRule, RequestId, Urgency};
@@ -262,6 +262,10 @@
     /// Lets time pass until nothing is left to do.
     fn settle(&mut self) {
         while let Some(wake) = self.router.next_wake() {
+            assert!(
+                self.now < Duration::from_secs(600),
+                "requests outlive their deadlines"
+            );
             self.now = self.now.max(wake);
             self.handle(Event::Tick);
         }
@@ -302,6 +306,42 @@
     assert_eq!(router.requests(), 2);
 }
 
+/// Guards against the use of cache entries that a crashed engine has lost.
+#[test]
+fn a_new_incarnation_voids_observations() {
+    let mut router = Router::new(settings(Policy::Jaystand), 1);
+    router.configure(Moment::ZERO, fleet(0));
+    let submitted = |id| Request {
+        servers: Arc::from([0]),
+        ..request(id, Moment::ZERO, 3)
+    };
+    let mut held = Vec::new();
+    for (id, incarnation) in [(0, 1), (1, 2)] {
+        let attempt = 1;
+        let cached_tokens = 0;
+        let accepted = Event::Accepted {
+            request: id,
+            attempt,
+            cached_tokens,
+            incarnation,
+        };
+        router.handle(Moment::ZERO, Event::Submit(submitted(id)), &mut Vec::new());
+        router.handle(Moment::ZERO, accepted, &mut Vec::new());
+        if id == 0 {
+            router.handle(
+                Moment::ZERO,
+                Event::FirstToken {
+                    request: id,
+                    attempt,
+                },
+                &mut Vec::new(),
+            );
+        }
+        held.push(router.explain(Moment::ZERO, &submitted(9))[0].source == Source::Holder);
+    }
+    assert_eq!(held, [true, false]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
