--- /dev/null
+++ b/crates/daemon/src/chat.rs
@@ -0,0 +1,333 @@
+//! Chat completions, streamed and not.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures::FutureExt;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+};
+use jaystand_policy::{Chain, Salt};
+use jaystand_sheet::{Rule, Target};
+use jaystand_types::{Outcome, RequestId, render_request_id};
+use jaystand_wire::{chat, header, sse};
+use tokio::sync::mpsc;
+
+use crate::{
+    drive::{Driver, Job, Output, Source},
+    entry::{Call, Entry, Shape, Submitted, Tally},
+    exchange::Answer,
+    hub::Configured,
+    reply::{Body, Problem, insert, insert_outcome},
+};
+
+/// Bytes of prompt text a token, a usual figure for English text.
+const BYTES_PER_TOKEN: usize = 4;
+/// Pieces of an answer held for a caller that reads slowly; then its engine waits too.
+const PIECES_AHEAD: usize = 16;
+/// Events that are ready at once go out in one piece up to this size.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Serves a chat completion.
+pub(crate) async fn complete(
+    entry: &Arc<Entry>,
+    mut call: Call,
+) -> Result<Response<Body>, Problem> {
+    let body = call.body.clone();
+    let request = chat::Request::try_from(&body[..]).map_err(|error| bad_request(&error))?;
+    let kind = request_kind(&call.head.headers)?;
+    let model = request.model.as_ref();
+    let shape = shape(entry, &call, &request);
+    let team = call.team.clone();
+    let submitted = entry.submit(
+        &mut call,
+        |configured| find_rule(configured, &team, kind.as_deref(), model),
+        &shape,
+    )?;
+    let Submitted {
+        handle,
+        deadline,
+        rule,
+        tally,
+    } = submitted;
+    let job = Job::Chat {
+        team,
+        model: model.into(),
+        body: engine_body(&request, &body),
+        original: body.clone(),
+        headers: engine_headers(&call.head.headers),
+    };
+    let metrics = Arc::clone(&entry.metrics);
+    let whole = !request.stream;
+    let driver = Driver::new(handle, job, whole, deadline, rule.urgency, metrics);
+    let answering = Answering {
+        id: call.id,
+        driver,
+        tally,
+        prompt_tokens: shape.prompt_tokens,
+    };
+    Ok(if whole {
+        answering.whole(entry).await
+    } else {
+        answering.stream(entry).await
+    })
+}
+
+struct Answering {
+    id: RequestId,
+    driver: Driver,
+    tally: Tally,
+    prompt_tokens: u32,
+}
+
+impl Answering {
+    async fn whole(mut self, entry: &Entry) -> Response<Body> {
+        loop {
+            match self.driver.next().await {
+                Output::Event(_) => {}
+                Output::End => {
+                    let source = self.driver.source();
+                    entry
+                        .metrics
+                        .cache(self.prompt_tokens, source.cached_tokens);
+                    let body = self.driver.assembly().whole().unwrap_or_default();
+                    let mut response = Response::new(Body::from(body));
+                    let headers = response.headers_mut();
+                    describe(headers, self.id, source);
+                    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                    insert_outcome(headers, Outcome::Done);
+                    self.tally.end(Outcome::Done);
+                    return response;
+                }
+                other => return self.without_stream(other),
+            }
+        }
+    }
+
+    async fn stream(mut self, entry: &Entry) -> Response<Body> {
+        let first = match self.driver.next().await {
+            Output::Event(event) => event,
+            other => return self.without_stream(other),
+        };
+        let source = self.driver.source();
+        entry
+            .metrics
+            .cache(self.prompt_tokens, source.cached_tokens);
+        let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
+        let mut response = Response::new(Body::Pieces(receiver));
+        let headers = response.headers_mut();
+        describe(headers, self.id, source);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        tokio::spawn(pump(self.driver, first, sender, self.tally));
+        response
+    }
+
+    /// Answers with something that is not a stream.
+    fn without_stream(self, output: Output) -> Response<Body> {
+        match output {
+            Output::Answer(answer) => {
+                let response = pass_on(answer, self.id, self.driver.source());
+                self.tally.end(Outcome::Done);
+                response
+            }
+            Output::Refused {
+                reason,
+                retry_after,
+                outcome,
+            } => {
+                self.tally.end(outcome);
+                Problem::refused(reason, retry_after, outcome).response(Some(self.id))
+            }
+            // A stream delivers an event before it ends.
+            Output::Event(_) | Output::End => {
+                let message = "the answer is empty";
+                let status = StatusCode::BAD_GATEWAY;
+                let mut problem = Problem::request(status, "empty_answer", message);
+                problem.outcome = Outcome::Unknown;
+                problem.response(Some(self.id))
+            }
+        }
+    }
+}
+
+/// Passes the events of a stream on until its end, its failure or the caller's departure.
+async fn pump(mut driver: Driver, first: sse::Event, sender: mpsc::Sender<Bytes>, tally: Tally) {
+    let mut piece = BytesMut::new();
+    sse::encode(&first, &mut piece);
+    loop {
+        let end = gather(&mut driver, &mut piece);
+        if !piece.is_empty() {
+            let reserved = tokio::time::timeout(driver.time_left(), sender.reserve()).await;
+            match reserved {
+                Ok(Ok(permit)) => permit.send(piece.split().freeze()),
+                // The caller has gone away, or has not read until the deadline passed.
+                Ok(Err(_)) | Err(_) => return,
+            }
+        }
+        if let Some(outcome) = end {
+            tally.end(outcome);
+            return;
+        }
+        let output = tokio::select! {
+            output = driver.next() => output,
+            () = sender.closed() => return,
+        };
+        if let Some(outcome) = write(output, &mut piece) {
+            // The caller may be gone; its outcome is the same.
+            let _ = sender.send(piece.freeze()).await;
+            tally.end(outcome);
+            return;
+        }
+    }
+}
+
+/// Adds the events that are ready already. Returns the outcome if the answer has ended.
+fn gather(driver: &mut Driver, piece: &mut BytesMut) -> Option<Outcome> {
+    while piece.len() < PIECE_BYTES {
+        let output = driver.next().now_or_never()?;
+        if let Some(outcome) = write(output, piece) {
+            return Some(outcome);
+        }
+    }
+    None
+}
+
+/// Encodes one output. Returns the outcome if it is the last one.
+fn write(output: Output, piece: &mut BytesMut) -> Option<Outcome> {
+    match output {
+        Output::Event(event) => {
+            sse::encode(&event, piece);
+            None
+        }
+        Output::End => {
+            let done = sse::Event {
+                data: Bytes::from_static(sse::DONE),
+                ..sse::Event::default()
+            };
+            sse::encode(&done, piece);
+            Some(Outcome::Done)
+        }
+        Output::Refused {
+            reason,
+            retry_after,
+            outcome,
+        } => {
+            let problem = Problem::refused(reason, retry_after, outcome);
+            sse::encode(&problem.event(), piece);
+            Some(outcome)
+        }
+        Output::Answer(answer) => {
+            // Only an attempt that takes the stream up after its start can end here.
+            let mut problem = Problem::request(
+                answer.status,
+                "backend_failed",
+                "a backend server refused to continue the answer",
+            );
+            problem.outcome = Outcome::Unknown;
+            sse::encode(&problem.event(), piece);
+            Some(Outcome::Unknown)
+        }
+    }
+}
+
+/// Headers that say who served an answer.
+pub(crate) fn describe(headers: &mut HeaderMap, id: RequestId, source: &Source) {
+    insert(headers, header::REQUEST_ID, &render_request_id(id));
+    headers.insert(header::CACHED_TOKENS, source.cached_tokens.into());
+    if let Some(backend) = &source.backend {
+        insert(headers, header::SERVED_BY, &backend.server.name);
+        insert(headers, header::DATA_CENTRE, &backend.server.data_centre);
+    }
+}
+
+/// A backend server's whole answer as the caller gets it.
+pub(crate) fn pass_on(answer: Answer, id: RequestId, source: &Source) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(Some(answer.body)));
+    *response.status_mut() = answer.status;
+    let headers = response.headers_mut();
+    *headers = crate::service::end_to_end(&answer.headers);
+    describe(headers, id, source);
+    insert_outcome(headers, Outcome::Done);
+    response
+}
+
+fn bad_request(error: &chat::Error) -> Problem {
+    let status = StatusCode::BAD_REQUEST;
+    Problem::request(status, "invalid_request", error.to_string()).param(error.field())
+}
+
+fn request_kind(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(header::REQUEST_KIND) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(kind) => Ok(Some(kind.to_owned())),
+        Err(_) => Err(unknown_kind("(not ASCII)")),
+    }
+}
+
+fn unknown_kind(kind: &str) -> Problem {
+    let message = format!("the team has no request kind `{kind}` for this");
+    Problem::request(StatusCode::BAD_REQUEST, "unknown_kind", message).param(Some("x-request-kind"))
+}
+
+fn find_rule(
+    configured: &Configured,
+    team: &str,
+    kind: Option<&str>,
+    model: &str,
+) -> Result<Arc<Rule>, Problem> {
+    let active = &configured.active;
+    let Some(kind) = kind else {
+        return active
+            .first_rule(team, model)
+            .cloned()
+            .ok_or_else(|| unknown_model(model));
+    };
+    let rule = active.rule(team, kind).ok_or_else(|| unknown_kind(kind))?;
+    match &rule.target {
+        Target::Model(name) if name == model => Ok(Arc::clone(rule)),
+        Target::Model(_) => Err(unknown_model(model)),
+        Target::Service(_) => Err(unknown_kind(kind)),
+    }
+}
+
+fn unknown_model(model: &str) -> Problem {
+    let message = format!("the model `{model}` does not exist or the team may not use it");
+    Problem::request(StatusCode::NOT_FOUND, "model_not_found", message).param(Some("model"))
+}
+
+fn shape(entry: &Entry, call: &Call, request: &chat::Request<'_>) -> Shape {
+    let model = request.model.as_ref();
+    let weights_version = call.configured.active.weights_version(model);
+    let salt = Salt::new(&call.team, model, "", &weights_version);
+    let messages = request.messages.iter();
+    let segments = messages.map(|message| message.get().as_bytes());
+    let bytes: usize = request.messages.iter().map(|it| it.get().len()).sum();
+    Shape {
+        chain: Chain::new(salt, entry.settings.chain.piece_bytes, segments),
+        prompt_tokens: u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+        max_tokens: request.max_tokens,
+    }
+}
+
+/// A streaming caller's body needs no change.
+fn engine_body(request: &chat::Request<'_>, original: &Bytes) -> Bytes {
+    if request.stream {
+        return original.clone();
+    }
+    request.to_engine(None).into()
+}
+
+fn engine_headers(caller: &HeaderMap) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(16);
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    for name in [header::TRACEPARENT, header::IDEMPOTENCY_KEY] {
+        if let Some(value) = caller.get(&name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,194 @@
+//! The configuration in force. Only greater versions replace it, so it never reverts.
+
+use std::{collections::HashMap, path::Path, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwapOption;
+use compact_str::CompactString;
+use jaystand_kernel::{
+    Kernel,
+    plugin::{Running, Stage, Started},
+};
+use jaystand_sheet::{Document, Faults, Rule, Sheet, Target};
+use jaystand_types::{TeamId, Version};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::settings::Settings;
+
+/// Time that peers and the platform have to answer before the bootstrap file is used.
+const BOOTSTRAP_WAIT: Duration = Duration::from_secs(3);
+
+/// One configuration, checked and indexed for the request path.
+#[derive(Debug)]
+pub struct Active {
+    /// The document as accepted.
+    pub document: Document,
+    /// Its checked sheet.
+    pub sheet: Sheet,
+    keys: HashMap<[u8; 32], TeamId>,
+    rules: HashMap<TeamId, Vec<Arc<Rule>>>,
+}
+
+/// What became of an offered document.
+#[derive(Debug)]
+pub enum Offered {
+    /// It is in force.
+    Applied,
+    /// It is not newer than the one in force, which is this version.
+    NotNewer(Version),
+    /// It has faults; nothing was applied.
+    Rejected(Faults),
+}
+
+/// Holds the configuration in force.
+#[derive(Debug)]
+pub struct Store {
+    active: ArcSwapOption<Active>,
+    changed: watch::Sender<Option<Arc<Active>>>,
+    offering: Mutex<()>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            active: ArcSwapOption::empty(),
+            changed: watch::channel(None).0,
+            offering: Mutex::default(),
+        }
+    }
+}
+
+impl Store {
+    /// The configuration in force, if there is one yet.
+    #[must_use]
+    pub fn current(&self) -> Option<Arc<Active>> {
+        self.active.load_full()
+    }
+
+    /// Applies a document if it is newer than the one in force and has no faults.
+    pub fn offer(&self, document: Document) -> Offered {
+        let _one_at_a_time = self.offering.lock();
+        if let Some(current) = self.current()
+            && document.version <= current.document.version
+        {
+            return Offered::NotNewer(current.document.version);
+        }
+        match Active::try_from(document) {
+            Ok(active) => {
+                log::info!("configuration {} is in force", active.document.version);
+                let active = Arc::new(active);
+                self.active.store(Some(Arc::clone(&active)));
+                self.changed.send_replace(Some(active));
+                Offered::Applied
+            }
+            Err(faults) => Offered::Rejected(faults),
+        }
+    }
+
+    /// Watches the configuration; the receiver starts with the one in force.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Active>>> {
+        self.changed.subscribe()
+    }
+}
+
+impl TryFrom<Document> for Active {
+    type Error = Faults;
+
+    fn try_from(document: Document) -> Result<Self, Faults> {
+        let sheet = Sheet::try_from((document.sheet.as_str(), &document.directory))?;
+        let teams = document.directory.teams.iter();
+        let keys = teams
+            .filter_map(|team| {
+                let hash = blake3::Hash::from_hex(team.key_hash.as_bytes()).ok()?;
+                Some((*hash.as_bytes(), team.name.clone()))
+            })
+            .collect();
+        let mut rules: HashMap<TeamId, Vec<Arc<Rule>>> = HashMap::new();
+        for rule in &sheet.rules {
+            let of_team = rules.entry(rule.team.clone()).or_default();
+            of_team.push(Arc::new(rule.clone()));
+        }
+        Ok(Self {
+            document,
+            sheet,
+            keys,
+            rules,
+        })
+    }
+}
+
+impl Active {
+    /// The team that owns an API key.
+    #[must_use]
+    pub fn team(&self, key: &str) -> Option<&TeamId> {
+        self.keys.get(blake3::hash(key.as_bytes()).as_bytes())
+    }
+
+    /// The team's rule for a request kind.
+    #[must_use]
+    pub fn rule(&self, team: &str, kind: &str) -> Option<&Arc<Rule>> {
+        self.rules.get(team)?.iter().find(|rule| rule.kind == kind)
+    }
+
+    /// The team's first rule for a model.
+    #[must_use]
+    pub fn first_rule(&self, team: &str, model: &str) -> Option<&Arc<Rule>> {
+        self.rules
+            .get(team)?
+            .iter()
+            .find(|rule| matches!(&rule.target, Target::Model(name) if name == model))
+    }
+
+    /// The weights version in use of a model; empty when the directory does not list it.
+    #[must_use]
+    pub fn weights_version(&self, model: &str) -> CompactString {
+        let mut models = self.document.directory.models.iter();
+        models
+            .find(|entry| entry.name == model)
+            .map(|entry| entry.weights_version.clone())
+            .unwrap_or_default()
+    }
+}
+
+/// Reads a document from a JSON file.
+///
+/// # Errors
+/// Fails when the file cannot be read or is not a document.
+pub fn read_document(path: &Path) -> miette::Result<Document> {
+    let text = std::fs::read(path)
+        .map_err(|error| miette::miette!("{}: cannot be read: {error}", path.display()))?;
+    serde_json::from_slice(&text)
+        .map_err(|error| miette::miette!("{}: is not a document: {error}", path.display()))
+}
+
+jaystand_kernel::register!("config", Stage::State, start);
+
+async fn start(kernel: Kernel) -> Started {
+    let settings = kernel.require::<Settings>()?;
+    let store = Arc::new(Store::default());
+    kernel.provide(Arc::clone(&store));
+    let Some(path) = settings.bootstrap.clone() else {
+        return Ok(Running::detached());
+    };
+    let document = read_document(&path)?;
+    if settings.platform.is_none() && settings.peers.seeds.is_empty() {
+        apply_bootstrap(&store, document);
+        return Ok(Running::detached());
+    }
+    let timer = kernel.timer().clone();
+    tokio::spawn(async move {
+        timer.at(timer.now() + BOOTSTRAP_WAIT).tick().await;
+        apply_bootstrap(&store, document);
+    });
+    Ok(Running::detached())
+}
+
+fn apply_bootstrap(store: &Store, document: Document) {
+    if store.current().is_some() {
+        return;
+    }
+    if let Offered::Rejected(faults) = store.offer(document) {
+        log::error!("the bootstrap configuration was rejected: {faults}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/drive.rs
@@ -0,0 +1,463 @@
+//! Drives one request: carries out the router's orders, runs the attempts and yields the caller's answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri, header};
+use jaystand_policy::{Attempt as Number, Event, Failure, Refusal, Salt};
+use jaystand_types::{Incarnation, Model, Moment, Outcome, TeamId, Urgency};
+use jaystand_wire::{
+    chat,
+    engine::{self, Position, RequestHead, ResponseHead},
+    sse,
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    backend::Backend,
+    exchange::{Answer, Attempt, Expected, Plan, Signal},
+    hub::{Dispatch, Handle, Order},
+    metrics::Metrics,
+    stream::{Assembly, Fault, Step},
+};
+
+/// What the request sends to backend servers.
+#[derive(Debug)]
+pub(crate) enum Job {
+    /// A chat completion.
+    Chat {
+        team: TeamId,
+        model: Model,
+        /// The caller's body, parsed again when another engine continues the answer.
+        original: Bytes,
+        /// The body for engines.
+        body: Bytes,
+        headers: HeaderMap,
+    },
+    /// A call of a plain service.
+    Service {
+        method: Method,
+        path: Uri,
+        headers: HeaderMap,
+        body: Bytes,
+        /// Whether the request must run at most once.
+        once: bool,
+    },
+}
+
+/// What the caller gets next.
+#[derive(Debug)]
+pub(crate) enum Output {
+    /// An event of the stream.
+    Event(sse::Event),
+    /// The stream is complete.
+    End,
+    /// A whole answer that is not a stream.
+    Answer(Answer),
+    /// The request is given up.
+    Refused {
+        reason: Refusal,
+        retry_after: Duration,
+        outcome: Outcome,
+    },
+}
+
+/// Who served the answer, for the caller's headers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Source {
+    pub(crate) backend: Option<Arc<Backend>>,
+    pub(crate) cached_tokens: u32,
+    incarnation: Incarnation,
+}
+
+/// One request on its way. Dropping it cancels what runs.
+#[derive(Debug)]
+pub(crate) struct Driver {
+    handle: Handle,
+    job: Job,
+    deadline: Moment,
+    urgency: Urgency,
+    metrics: Arc<Metrics>,
+    submitted: Instant,
+    attempts: SmallVec<[Attempt; 2]>,
+    heads: SmallVec<[(Number, ResponseHead); 2]>,
+    owner: Option<Number>,
+    /// Servers of failed attempts, which may still run them.
+    suspects: SmallVec<[Arc<Backend>; 1]>,
+    assembly: Assembly,
+    source: Source,
+    dispatched: bool,
+}
+
+impl Driver {
+    pub(crate) fn new(
+        handle: Handle,
+        job: Job,
+        whole: bool,
+        deadline: Moment,
+        urgency: Urgency,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let assembly = Assembly::new(handle.request, whole);
+        Self {
+            handle,
+            job,
+            deadline,
+            urgency,
+            metrics,
+            submitted: Instant::now(),
+            attempts: SmallVec::new(),
+            heads: SmallVec::new(),
+            owner: None,
+            suspects: SmallVec::new(),
+            assembly,
+            source: Source::default(),
+            dispatched: false,
+        }
+    }
+
+    pub(crate) fn source(&self) -> &Source {
+        &self.source
+    }
+
+    pub(crate) fn assembly(&self) -> &Assembly {
+        &self.assembly
+    }
+
+    /// Time left until the request's deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_sub(self.handle.now())
+    }
+
+    /// Waits for the caller's next piece of the answer. May be dropped and called again without loss.
+    pub(crate) async fn next(&mut self) -> Output {
+        for attempt in &mut self.attempts {
+            attempt.restart_wait();
+        }
+        loop {
+            let happened = tokio::select! {
+                biased;
+                order = self.handle.orders.recv() => Happened::Order(order),
+                (index, signal) = next_signal(&mut self.attempts) => Happened::Signal(index, signal),
+            };
+            let output = match happened {
+                Happened::Order(Some(order)) => self.obey(order),
+                Happened::Order(None) => std::future::pending().await,
+                Happened::Signal(index, signal) => self.take(index, signal),
+            };
+            if let Some(output) = output {
+                return output;
+            }
+        }
+    }
+
+    fn obey(&mut self, order: Order) -> Option<Output> {
+        match order {
+            Order::Dispatch(dispatch) => self.dispatch(dispatch),
+            Order::CancelAttempt(number) => self.remove(number),
+            Order::Refuse {
+                reason,
+                retry_after,
+                outcome,
+            } => {
+                self.close();
+                self.metrics.refused(reason);
+                return Some(Output::Refused {
+                    reason,
+                    retry_after,
+                    outcome,
+                });
+            }
+        }
+        None
+    }
+
+    /// Ends the request: attempts that still run are cancelled.
+    fn close(&mut self) {
+        self.handle.finish();
+        self.attempts.clear();
+        for suspect in self.suspects.drain(..) {
+            suspect.cancel(self.handle.request);
+        }
+    }
+
+    fn remove(&mut self, number: Number) {
+        self.attempts.retain(|attempt| attempt.number != number);
+        self.heads.retain(|(of, _)| *of != number);
+        if self.owner == Some(number) {
+            self.owner = None;
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        self.note_dispatch(&dispatch);
+        let request = self.handle.request;
+        let backend = &dispatch.backend;
+        for suspect in self.suspects.drain(..) {
+            // The same server goes on with the stream that it may still hold.
+            if !Arc::ptr_eq(&suspect, backend) {
+                suspect.cancel(request);
+            }
+        }
+        let position = self.position(&dispatch);
+        let built = match position {
+            Some(position) => self.build(&dispatch, position),
+            None => None,
+        };
+        let Some((message, expected)) = built else {
+            self.failed(dispatch.attempt, Failure::NotSent);
+            return;
+        };
+        let plan = Plan {
+            number: dispatch.attempt,
+            expected,
+            first_token_deadline: dispatch.first_token_deadline,
+            token_deadline: dispatch.token_deadline,
+            fresh_connection: dispatch.fresh_connection,
+            own_connection: matches!(self.job, Job::Service { once: true, .. }),
+            backend: dispatch.backend,
+        };
+        self.attempts.push(Attempt::start(plan, message));
+    }
+
+    fn note_dispatch(&mut self, dispatch: &Dispatch) {
+        if !self.dispatched {
+            self.dispatched = true;
+            let waited = self.submitted.elapsed();
+            self.metrics.admitted(self.urgency, waited);
+        } else if dispatch.hedge {
+            self.metrics.hedged();
+        } else {
+            self.metrics.retried();
+        }
+    }
+
+    /// Where the attempt takes the stream up; `None` when it cannot.
+    fn position(&self, dispatch: &Dispatch) -> Option<Position> {
+        let next = self.assembly.next_offset();
+        if next == 0 {
+            return Some(Position::Start);
+        }
+        let source = self.source.backend.as_ref();
+        let same = source.is_some_and(|source| Arc::ptr_eq(source, &dispatch.backend))
+            && dispatch.backend.incarnation() == Some(self.source.incarnation);
+        if dispatch.resume && same {
+            return Some(Position::After(next - 1));
+        }
+        self.assembly.continuation()?;
+        Some(Position::Continue(next))
+    }
+
+    fn build(
+        &self,
+        dispatch: &Dispatch,
+        position: Position,
+    ) -> Option<(Request<Full<Bytes>>, Expected)> {
+        let backend = &dispatch.backend;
+        let request = self.handle.request;
+        match &self.job {
+            Job::Chat {
+                team,
+                model,
+                original,
+                body,
+                headers,
+            } => {
+                let weights_version = backend.weights_version();
+                let salt = Salt::new(team, model, "", &weights_version).render();
+                let head = RequestHead {
+                    request,
+                    expect_incarnation: backend.incarnation(),
+                    weights_version: &weights_version,
+                    cache_salt: &salt,
+                    priority: dispatch.priority,
+                    deadline: self.time_left(),
+                    position,
+                };
+                let body = match position {
+                    Position::Continue(_) => {
+                        let parsed = chat::Request::try_from(&original[..]).ok()?;
+                        parsed.to_engine(self.assembly.continuation()).into()
+                    }
+                    _ => body.clone(),
+                };
+                let incarnation = match position {
+                    Position::After(_) => Some(self.source.incarnation),
+                    _ => None,
+                };
+                let mut message = Request::new(Full::new(body));
+                *message.method_mut() = Method::POST;
+                *message.uri_mut() = backend.uri(engine::CHAT_PATH);
+                *message.headers_mut() = headers.clone();
+                head.write(message.headers_mut());
+                let expected = Expected {
+                    request,
+                    incarnation,
+                    weights_version,
+                };
+                Some((message, expected))
+            }
+            Job::Service {
+                method,
+                path,
+                headers,
+                body,
+                ..
+            } => {
+                let mut message = Request::new(Full::new(body.clone()));
+                *message.method_mut() = method.clone();
+                *message.uri_mut() = backend.uri(path.path_and_query()?.as_str());
+                *message.headers_mut() = headers.clone();
+                let id = jaystand_types::render_request_id(request);
+                let id = header::HeaderValue::from_str(&id).ok()?;
+                let name = jaystand_wire::header::REQUEST_ID;
+                message.headers_mut().insert(name, id);
+                let expected = Expected {
+                    request,
+                    incarnation: None,
+                    weights_version: "".into(),
+                };
+                Some((message, expected))
+            }
+        }
+    }
+
+    fn take(&mut self, index: usize, signal: Signal) -> Option<Output> {
+        let number = self.attempts[index].number;
+        match signal {
+            Signal::Head(head) => self.head(index, head),
+            Signal::Event(event) => return self.event(index, event),
+            Signal::Answer(answer) => {
+                self.source.backend = Some(Arc::clone(&self.attempts[index].backend));
+                self.finished(number);
+                return Some(Output::Answer(answer));
+            }
+            Signal::Failed(failure) => {
+                if !failure.proves_not_run() {
+                    self.suspects
+                        .push(Arc::clone(&self.attempts[index].backend));
+                }
+                self.failed(number, failure);
+            }
+        }
+        None
+    }
+
+    fn head(&mut self, index: usize, head: ResponseHead) {
+        let attempt = &self.attempts[index];
+        attempt.backend.saw_incarnation(head.incarnation);
+        if head.leaving {
+            self.handle.saw_leaving(&attempt.backend);
+        }
+        self.handle.tell(Event::Accepted {
+            request: self.handle.request,
+            attempt: attempt.number,
+            cached_tokens: head.cached_tokens,
+            incarnation: head.incarnation,
+        });
+        self.heads.push((attempt.number, head));
+    }
+
+    fn event(&mut self, index: usize, event: sse::Event) -> Option<Output> {
+        let number = self.attempts[index].number;
+        // The loser of a race is about to be cancelled.
+        if self.owner.is_some_and(|owner| owner != number) {
+            return None;
+        }
+        match self.assembly.accept(event) {
+            Ok(Step::Deliver(event)) => {
+                self.delivered(index);
+                Some(Output::Event(event))
+            }
+            Ok(Step::Duplicate) => None,
+            Ok(Step::End) => {
+                self.attempts[index].conclude();
+                self.finished(number);
+                Some(Output::End)
+            }
+            Err(fault) => {
+                let backend = Arc::clone(&self.attempts[index].backend);
+                log::warn!(request = jaystand_types::render_request_id(self.handle.request).as_str(); "{}: {fault}", backend.server.name);
+                self.attempts[index].conclude();
+                if fault == Fault::Crossed {
+                    backend.retire_connections();
+                }
+                self.suspects.push(backend);
+                self.failed(number, Failure::Broken);
+                None
+            }
+        }
+    }
+
+    fn delivered(&mut self, index: usize) {
+        let request = self.handle.request;
+        let attempt = self.attempts[index].number;
+        if self.owner.is_some() {
+            let tokens = 1;
+            self.handle.tell(Event::Progress {
+                request,
+                attempt,
+                tokens,
+            });
+            return;
+        }
+        if self.assembly.next_offset() == 1 {
+            let waited = self.submitted.elapsed();
+            self.metrics.first_token(self.urgency, waited);
+        }
+        self.owner = Some(attempt);
+        let head = self.heads.iter().find(|(of, _)| *of == attempt);
+        self.source = Source {
+            backend: Some(Arc::clone(&self.attempts[index].backend)),
+            cached_tokens: head.map_or(0, |(_, head)| head.cached_tokens),
+            incarnation: head.map_or(0, |(_, head)| head.incarnation),
+        };
+        self.handle.tell(Event::FirstToken { request, attempt });
+    }
+
+    fn finished(&mut self, attempt: Number) {
+        self.handle.tell(Event::Finished {
+            request: self.handle.request,
+            attempt,
+            tokens: 0,
+        });
+        self.close();
+    }
+
+    fn failed(&mut self, attempt: Number, failure: Failure) {
+        self.remove(attempt);
+        self.metrics.attempt_failed(failure);
+        self.handle.tell(Event::Failed {
+            request: self.handle.request,
+            attempt,
+            failure,
+        });
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        for suspect in self.suspects.drain(..) {
+            suspect.cancel(self.handle.request);
+        }
+    }
+}
+
+enum Happened {
+    Order(Option<Order>),
+    Signal(usize, Signal),
+}
+
+async fn next_signal(attempts: &mut SmallVec<[Attempt; 2]>) -> (usize, Signal) {
+    match attempts.as_mut_slice() {
+        [] => std::future::pending().await,
+        [attempt] => (0, attempt.next().await),
+        many => {
+            let waits = many.iter_mut().map(|attempt| Box::pin(attempt.next()));
+            let (signal, index, _) = futures::future::select_all(waits).await;
+            (index, signal)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,332 @@
+//! The caller listener: connections, authentication and the choice of what serves a request.
+
+mod listen;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Version,
+    body::{Body as _, Incoming},
+    header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE, HeaderValue},
+};
+use jaystand_kernel::{Lifecycle, Phase};
+use jaystand_policy::Chain;
+use jaystand_sheet::Rule;
+use jaystand_types::{
+    Moment, Outcome, RequestId, TeamId, Urgency, parse_request_id, render_request_id,
+};
+use jaystand_wire::header;
+
+use crate::{
+    chat,
+    hub::{Configured, Handle, Hub, NotSubmitted},
+    memory::Memory,
+    metrics::Metrics,
+    reply::{Body, Problem, insert},
+    service,
+    settings::Settings,
+};
+
+/// When to come back while the daemon has no configuration or a full queue.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+const MAX_KEY_BYTES: usize = 255;
+
+/// What serves callers.
+pub(crate) struct Entry {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) hub: Arc<Hub>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) memory: Memory,
+    pub(crate) lifecycle: Lifecycle,
+}
+
+/// A request whose caller is known.
+pub(crate) struct Call {
+    pub(crate) id: RequestId,
+    pub(crate) team: TeamId,
+    pub(crate) configured: Arc<Configured>,
+    pub(crate) head: hyper::http::request::Parts,
+    pub(crate) body: Bytes,
+}
+
+/// Counts a request's outcome once; a request dropped before its end counts as unknown.
+pub(crate) struct Tally {
+    entry: Arc<Entry>,
+    request: RequestId,
+    urgency: Urgency,
+    outcome: Outcome,
+}
+
+impl Tally {
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        self.entry.metrics.answered(self.urgency, self.outcome);
+        self.entry.memory.end(self.request, self.outcome);
+    }
+}
+
+impl Entry {
+    /// Answers one request.
+    pub(crate) async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let version = request.version();
+        let id: RequestId = rand::random();
+        let mut response = match self.route(id, request).await {
+            Ok(response) => response,
+            Err(problem) => {
+                self.metrics.rejected(problem.code);
+                problem.response(Some(id))
+            }
+        };
+        // Callers move to another daemon before this one closes their connections.
+        if version < Version::HTTP_2 && self.lifecycle.phase() >= Phase::LameDuck {
+            let headers = response.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn route(
+        self: &Arc<Self>,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Problem> {
+        let path = request.uri().path();
+        let target = Target::of(path).ok_or_else(|| unknown_path(path))?;
+        let method = request.method();
+        if *method != target.method() {
+            let message = format!("{path} takes {}, not {method}", target.method());
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(Problem::request(status, "method_not_allowed", message));
+        }
+        let configured = self.hub.configured().ok_or_else(|| {
+            let message = "the daemon has no configuration yet";
+            Problem::unavailable("not_ready", message, RETRY_AFTER)
+        })?;
+        let team = team(request.headers(), &configured)?;
+        if let Target::Request(id) = target {
+            return self.recall(id, &team);
+        }
+        let (head, body) = request.into_parts();
+        let body = self.read(body).await?;
+        let call = Call {
+            id,
+            team,
+            configured,
+            head,
+            body,
+        };
+        match target {
+            Target::Chat => chat::complete(self, call).await,
+            Target::Service(kind) => service::call(self, call, &kind).await,
+            Target::Request(_) => Err(unknown_path("")),
+        }
+    }
+
+    fn recall(&self, id: Option<RequestId>, team: &TeamId) -> Result<Response<Body>, Problem> {
+        let record = id.and_then(|id| Some((id, self.memory.get(id, team)?)));
+        let Some((id, record)) = record else {
+            let message = "the request is not known here; only recent requests are remembered";
+            let status = StatusCode::NOT_FOUND;
+            return Err(Problem::request(status, "request_not_found", message));
+        };
+        let body = serde_json::json!({
+            "id": render_request_id(id).as_str(),
+            "state": record.state,
+            "outcome": record.outcome,
+        });
+        let mut response = Response::new(Body::from(body.to_string().into_bytes()));
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        insert(headers, header::REQUEST_ID, &render_request_id(id));
+        Ok(response)
+    }
+
+    async fn read(&self, body: Incoming) -> Result<Bytes, Problem> {
+        let limits = &self.settings.limits;
+        let limit = limits.body_bytes;
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large(limit));
+        }
+        let reading = tokio::time::timeout(limits.body_timeout, collect(body, limit));
+        reading.await.unwrap_or_else(|_| {
+            let message = format!("the body did not arrive within {:?}", limits.body_timeout);
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(Problem::request(status, "body_timeout", message).closing())
+        })
+    }
+
+    /// Hands a request to the router. The rule is looked up again when the configuration changes meanwhile.
+    pub(crate) fn submit(
+        self: &Arc<Self>,
+        call: &mut Call,
+        find: impl Fn(&Configured) -> Result<Arc<Rule>, Problem>,
+        shape: &Shape,
+    ) -> Result<Submitted, Problem> {
+        loop {
+            let rule = find(&call.configured)?;
+            let now = self.hub.now();
+            let deadline = now + rule.limits.deadline;
+            let request = jaystand_policy::Request {
+                id: call.id,
+                team: call.team.clone(),
+                kind: rule.kind.clone(),
+                urgency: rule.urgency,
+                repeat: rule.repeat,
+                chain: shape.chain.clone(),
+                prompt_tokens: shape.prompt_tokens,
+                expected_tokens: shape
+                    .max_tokens
+                    .map_or(rule.limits.expected_tokens, |most| {
+                        most.min(rule.limits.expected_tokens)
+                    }),
+                deadline,
+                first_token_target: rule.limits.first_token,
+                servers: Arc::clone(&rule.servers),
+            };
+            match self.hub.submit(&call.configured, request) {
+                Ok(handle) => {
+                    self.memory.begin(call.id, &call.team);
+                    let tally = Tally {
+                        entry: Arc::clone(self),
+                        request: call.id,
+                        urgency: rule.urgency,
+                        outcome: Outcome::Unknown,
+                    };
+                    return Ok(Submitted {
+                        handle,
+                        deadline,
+                        rule,
+                        tally,
+                    });
+                }
+                Err(NotSubmitted::Full) => {
+                    let message = "the daemon's queue is full";
+                    return Err(Problem::unavailable("queue_full", message, RETRY_AFTER));
+                }
+                Err(NotSubmitted::Stale) => {
+                    if let Some(configured) = self.hub.configured() {
+                        call.configured = configured;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A request that the router has.
+pub(crate) struct Submitted {
+    pub(crate) handle: Handle,
+    pub(crate) deadline: Moment,
+    pub(crate) rule: Arc<Rule>,
+    pub(crate) tally: Tally,
+}
+
+/// What placement and admission need to know of a request's content.
+#[derive(Default)]
+pub(crate) struct Shape {
+    pub(crate) chain: Chain,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) max_tokens: Option<u32>,
+}
+
+enum Target {
+    Chat,
+    Service(String),
+    Request(Option<RequestId>),
+}
+
+impl Target {
+    fn of(path: &str) -> Option<Self> {
+        if path == jaystand_wire::engine::CHAT_PATH {
+            return Some(Self::Chat);
+        }
+        if let Some(id) = path.strip_prefix("/v1/requests/") {
+            return Some(Self::Request(parse_request_id(id)));
+        }
+        let rest = path.strip_prefix("/services/")?;
+        let kind = rest.split('/').next().filter(|kind| !kind.is_empty())?;
+        Some(Self::Service(kind.to_owned()))
+    }
+
+    fn method(&self) -> Method {
+        match self {
+            Self::Chat | Self::Service(_) => Method::POST,
+            Self::Request(_) => Method::GET,
+        }
+    }
+}
+
+fn unknown_path(path: &str) -> Problem {
+    let message = format!("there is nothing at {path}");
+    Problem::request(StatusCode::NOT_FOUND, "unknown_path", message)
+}
+
+fn team(headers: &HeaderMap, configured: &Configured) -> Result<TeamId, Problem> {
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let known = key.and_then(|key| configured.active.team(key.trim()));
+    known.cloned().ok_or_else(|| {
+        let message = "the API key is missing or unknown; send `Authorization: Bearer <key>`";
+        Problem::request(StatusCode::UNAUTHORIZED, "invalid_api_key", message)
+    })
+}
+
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Problem> {
+    let mut first: Option<Bytes> = None;
+    let mut joined = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let message = format!("the body broke off: {error}");
+            Problem::request(StatusCode::BAD_REQUEST, "body_incomplete", message).closing()
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = joined.len() + first.as_ref().map_or(0, Bytes::len) + data.len();
+        if length > limit {
+            return Err(too_large(limit));
+        }
+        // Most bodies come in one piece, which needs no copy.
+        match first.take() {
+            None if joined.is_empty() => first = Some(data),
+            before => {
+                joined.extend_from_slice(&before.unwrap_or_default());
+                joined.extend_from_slice(&data);
+            }
+        }
+    }
+    Ok(first.unwrap_or_else(|| joined.freeze()))
+}
+
+fn too_large(limit: usize) -> Problem {
+    let message = format!("the body exceeds {limit} bytes");
+    Problem::request(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message).closing()
+}
+
+/// The caller's idempotency key.
+///
+/// # Errors
+/// Fails when the key is not printable ASCII of a bounded length.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(header::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok();
+    let valid = key.filter(|key| (1..=MAX_KEY_BYTES).contains(&key.len()));
+    let Some(key) = valid else {
+        let message = format!("the key must be 1 to {MAX_KEY_BYTES} printable ASCII characters");
+        let status = StatusCode::BAD_REQUEST;
+        let problem = Problem::request(status, "invalid_idempotency_key", message);
+        return Err(problem.param(Some("idempotency-key")));
+    };
+    Ok(Some(key.to_owned()))
+}
--- /dev/null
+++ b/crates/daemon/src/hub.rs
@@ -0,0 +1,355 @@
+//! Connects requests to the router: events go in under one lock, actions come out to the task of each request.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwapOption;
+use jaystand_kernel::timer::Timer;
+use jaystand_policy::{Action, Attempt, Event, Fleet, Refusal, Request, Router, load, server, team};
+use jaystand_types::{Moment, Outcome, RequestId, ServerId};
+use parking_lot::Mutex;
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    backend::{self, Backend},
+    config::Active,
+};
+
+/// What the router asks the task of a request to do.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Dispatch(Dispatch),
+    CancelAttempt(Attempt),
+    Refuse {
+        reason: Refusal,
+        retry_after: Duration,
+        outcome: Outcome,
+    },
+}
+
+/// One attempt to make.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    pub(crate) attempt: Attempt,
+    pub(crate) backend: Arc<Backend>,
+    pub(crate) priority: u8,
+    pub(crate) first_token_deadline: Duration,
+    pub(crate) token_deadline: Duration,
+    pub(crate) resume: bool,
+    pub(crate) fresh_connection: bool,
+    pub(crate) hedge: bool,
+}
+
+/// A request that the router knows. Dropping it before `finish` tells the router that the caller went away.
+#[derive(Debug)]
+pub(crate) struct Handle {
+    hub: Arc<Hub>,
+    pub(crate) request: RequestId,
+    pub(crate) orders: mpsc::UnboundedReceiver<Order>,
+    finished: bool,
+}
+
+/// Why a request was not submitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotSubmitted {
+    /// The configuration has changed since the request's rule was looked up.
+    Stale,
+    /// The daemon holds as many requests as it may.
+    Full,
+}
+
+/// The router and the tasks of its requests.
+pub(crate) struct Hub {
+    timer: Timer,
+    queue: usize,
+    configured: ArcSwapOption<Configured>,
+    inner: Mutex<Inner>,
+    sooner: Notify,
+}
+
+/// A configuration together with its backend servers.
+#[derive(Debug)]
+pub(crate) struct Configured {
+    pub(crate) active: Arc<Active>,
+    pub(crate) backends: backend::Table,
+}
+
+struct Inner {
+    router: Router,
+    requests: HashMap<RequestId, mpsc::UnboundedSender<Order>>,
+    actions: Vec<Action>,
+    configured: Option<Arc<Configured>>,
+    wake: Option<Moment>,
+}
+
+impl std::fmt::Debug for Hub {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Hub").finish_non_exhaustive()
+    }
+}
+
+impl Hub {
+    pub(crate) fn new(timer: Timer, router: Router, queue: usize) -> Self {
+        Self {
+            timer,
+            queue,
+            configured: ArcSwapOption::empty(),
+            inner: Mutex::new(Inner {
+                router,
+                requests: HashMap::new(),
+                actions: Vec::new(),
+                configured: None,
+                wake: None,
+            }),
+            sooner: Notify::new(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.timer.now()
+    }
+
+    /// The configuration that the router works with.
+    pub(crate) fn configured(&self) -> Option<Arc<Configured>> {
+        self.configured.load_full()
+    }
+
+    /// Requests queued and running.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.inner.lock().requests.len()
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn configure(&self, active: Arc<Active>) {
+        let mut inner = self.inner.lock();
+        let before = inner.configured.take();
+        let before = before.as_ref().map_or(&[][..], |before| &before.backends);
+        let backends = backend::table(&active.document.directory, before);
+        inner.router.configure(self.timer.now(), fleet(&active));
+        let configured = Arc::new(Configured { active, backends });
+        inner.configured = Some(Arc::clone(&configured));
+        self.configured.store(Some(configured));
+    }
+
+    /// Hands a request to the router. `configured` is what its rule was looked up in.
+    pub(crate) fn submit(
+        self: &Arc<Self>,
+        configured: &Arc<Configured>,
+        request: Request,
+    ) -> Result<Handle, NotSubmitted> {
+        let (sender, orders) = mpsc::unbounded_channel();
+        let id = request.id;
+        let mut inner = self.inner.lock();
+        let current = inner.configured.as_ref();
+        // Server ids are positions in one configuration's directory and mean others in the next.
+        if !current.is_some_and(|current| Arc::ptr_eq(current, configured)) {
+            return Err(NotSubmitted::Stale);
+        }
+        if inner.requests.len() >= self.queue {
+            return Err(NotSubmitted::Full);
+        }
+        inner.requests.insert(id, sender);
+        self.handle(&mut inner, Event::Submit(request));
+        drop(inner);
+        Ok(Handle {
+            hub: Arc::clone(self),
+            request: id,
+            orders,
+            finished: false,
+        })
+    }
+
+    /// Tells the router an event.
+    pub(crate) fn tell(&self, event: Event) {
+        self.handle(&mut self.inner.lock(), event);
+    }
+
+    /// Notes a sign that a backend server is leaving or has come back.
+    pub(crate) fn set_leaving(&self, backend: &Arc<Backend>, leaving: bool) {
+        if !backend.set_leaving(leaving) {
+            return;
+        }
+        let mut inner = self.inner.lock();
+        if let Some(server) = inner.server_id(backend) {
+            let event = if leaving {
+                Event::Leaving { server }
+            } else {
+                Event::Returned { server }
+            };
+            self.handle(&mut inner, event);
+        }
+    }
+
+    /// Passes a load report on.
+    pub(crate) fn load(&self, backend: &Arc<Backend>, report: load::Report) {
+        let mut inner = self.inner.lock();
+        if let Some(server) = inner.server_id(backend) {
+            self.handle(&mut inner, Event::Load { server, report });
+        }
+    }
+
+    fn handle(&self, inner: &mut Inner, event: Event) {
+        let mut actions = std::mem::take(&mut inner.actions);
+        inner.router.handle(self.timer.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            inner.deliver(action);
+        }
+        inner.actions = actions;
+        let wake = inner.router.next_wake();
+        let sooner = match (wake, inner.wake) {
+            (Some(wake), Some(planned)) => wake < planned,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if sooner {
+            inner.wake = wake;
+            self.sooner.notify_one();
+        }
+    }
+
+    /// Ticks the router when it asks for it, for ever.
+    pub(crate) async fn tick(self: Arc<Self>) {
+        loop {
+            let wake = {
+                let mut inner = self.inner.lock();
+                inner.wake = inner.router.next_wake();
+                inner.wake
+            };
+            let Some(wake) = wake else {
+                self.sooner.notified().await;
+                continue;
+            };
+            let mut due = self.timer.at(wake);
+            tokio::select! {
+                _ = due.tick() => self.tell(Event::Tick),
+                () = self.sooner.notified() => {}
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// The id of a backend server in the configuration in force; `None` when it is not part of it any more.
+    fn server_id(&self, backend: &Arc<Backend>) -> Option<ServerId> {
+        let backends = &self.configured.as_ref()?.backends;
+        let position = backends.iter().position(|it| Arc::ptr_eq(it, backend))?;
+        ServerId::try_from(position).ok()
+    }
+
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "an action is used up by its delivery"
+    )]
+    fn deliver(&mut self, action: Action) {
+        let (request, order) = match action {
+            Action::Dispatch {
+                request,
+                attempt,
+                server,
+                priority,
+                first_token_deadline,
+                token_deadline,
+                resume,
+                fresh_connection,
+                hedge,
+            } => {
+                let backends = self.configured.as_ref().map(|it| &it.backends);
+                let Some(backend) = backends.and_then(|all| all.get(server as usize)) else {
+                    log::error!("the router chose server {server}, which is not configured");
+                    return;
+                };
+                let dispatch = Dispatch {
+                    attempt,
+                    backend: Arc::clone(backend),
+                    priority,
+                    first_token_deadline,
+                    token_deadline,
+                    resume,
+                    fresh_connection,
+                    hedge,
+                };
+                (request, Order::Dispatch(dispatch))
+            }
+            Action::CancelAttempt {
+                request, attempt, ..
+            } => (request, Order::CancelAttempt(attempt)),
+            Action::Refuse {
+                request,
+                reason,
+                retry_after,
+                outcome,
+            } => (
+                request,
+                Order::Refuse {
+                    reason,
+                    retry_after,
+                    outcome,
+                },
+            ),
+        };
+        if let Some(sender) = self.requests.get(&request) {
+            // A closed receiver belongs to a request that is ending.
+            let _ = sender.send(order);
+        }
+    }
+}
+
+impl Handle {
+    /// Tells the router an event of this request.
+    pub(crate) fn tell(&self, event: Event) {
+        self.hub.tell(event);
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.hub.now()
+    }
+
+    /// Notes a sign that a backend server is leaving.
+    pub(crate) fn saw_leaving(&self, backend: &Arc<Backend>) {
+        self.hub.set_leaving(backend, true);
+    }
+
+    /// The request has its final answer and the router has forgotten it.
+    pub(crate) fn finish(&mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        let mut inner = self.hub.inner.lock();
+        inner.requests.remove(&self.request);
+        if !self.finished {
+            let request = self.request;
+            self.hub.handle(&mut inner, Event::Cancel { request });
+        }
+    }
+}
+
+fn fleet(active: &Active) -> Fleet {
+    let directory = &active.document.directory;
+    let servers = directory.servers.iter().zip(0..);
+    let servers = servers.map(|(entry, id)| server::Spec {
+        id,
+        name: entry.name.clone(),
+        data_centre: entry.data_centre.clone(),
+        model: entry.model.clone(),
+        weights_version: entry.weights_version.to_string(),
+        service: entry.kind == jaystand_sheet::ServerKind::Service,
+        slots: entry.slots.get(),
+    });
+    let shares = directory.teams.iter().map(|entry| team::Share {
+        team: entry.name.clone(),
+        weight: entry.weight,
+    });
+    let limits = active.sheet.rules.iter().map(|rule| team::Limit {
+        team: rule.team.clone(),
+        kind: rule.kind.clone(),
+        max_in_flight: rule.limits.max_in_flight,
+        requests_per_minute: rule.limits.requests_per_minute,
+    });
+    Fleet {
+        servers: servers.collect(),
+        shares: shares.collect(),
+        limits: limits.collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/stream.rs
@@ -0,0 +1,196 @@
+//! Assembles one caller's answer from the attempts that produce it: no gap, no duplicate, no foreign chunk.
+//!
+//! The module performs no I/O; the exchange feeds it events and acts on what it returns.
+
+use jaystand_types::RequestId;
+use jaystand_wire::{
+    chunk::{Chunk, Completion},
+    sse::{DONE, Event},
+};
+
+/// Longest text kept so that another engine can continue an answer.
+pub const MAX_CONTINUATION_BYTES: usize = 256 * 1024;
+/// Largest answer assembled for a caller without a stream.
+pub const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
+/// The state of one answer.
+#[derive(Debug)]
+pub struct Assembly {
+    request: RequestId,
+    next: u64,
+    text: Option<String>,
+    unfinished: Vec<u32>,
+    ended: bool,
+    whole: Option<Whole>,
+}
+
+#[derive(Debug, Default)]
+struct Whole {
+    completion: Completion,
+    bytes: usize,
+}
+
+/// What to do with an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Pass it on.
+    Deliver(Event),
+    /// Drop it: the caller has it already.
+    Duplicate,
+    /// The answer is whole.
+    End,
+}
+
+/// Why an attempt's stream cannot be used any further. What was delivered before stays valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// Events are missing.
+    #[error("expected offset {expected}, got {got}")]
+    Gap {
+        /// The offset that comes next.
+        expected: u64,
+        /// The offset that came.
+        got: u64,
+    },
+    /// The chunk answers another request.
+    #[error("a chunk answers another request")]
+    Crossed,
+    /// The event has no offset, or its data is not a chunk.
+    #[error("an event is not a chunk with an offset")]
+    Malformed,
+    /// The marker came before the answer had come to its end.
+    #[error("the terminal marker came before the end of the answer")]
+    Early,
+    /// The engine reported an error inside the stream.
+    #[error("the engine reported an error")]
+    Engine,
+    /// The answer is larger than the bound.
+    #[error("the answer exceeds {MAX_WHOLE_BYTES} bytes")]
+    TooLarge,
+}
+
+impl Assembly {
+    /// An empty answer. With `whole`, the chunks are also assembled into one object.
+    #[must_use]
+    pub fn new(request: RequestId, whole: bool) -> Self {
+        Self {
+            request,
+            next: 0,
+            text: Some(String::new()),
+            unfinished: Vec::new(),
+            ended: false,
+            whole: whole.then(Whole::default),
+        }
+    }
+
+    /// Offset of the next event to deliver; 0 when nothing was delivered.
+    #[must_use]
+    pub fn next_offset(&self) -> u64 {
+        self.next
+    }
+
+    /// The text delivered so far; `None` when another engine cannot continue from it.
+    #[must_use]
+    pub fn continuation(&self) -> Option<&str> {
+        self.text.as_deref()
+    }
+
+    /// Whether the terminal marker was accepted.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+
+    /// The whole answer as JSON, once it has ended and if it was asked for.
+    #[must_use]
+    pub fn whole(&self) -> Option<Vec<u8>> {
+        let whole = self.whole.as_ref().filter(|_| self.ended)?;
+        Some(whole.completion.to_json())
+    }
+
+    /// Takes the next event of the attempt that feeds the answer.
+    ///
+    /// # Errors
+    /// Fails when the attempt's stream cannot be used; the answer may go on from another attempt.
+    pub fn accept(&mut self, event: Event) -> Result<Step, Fault> {
+        if event.data == DONE {
+            return self.end(event.offset);
+        }
+        let offset = event.offset.ok_or(Fault::Malformed)?;
+        // The chunk is checked before its offset, so that a foreign chunk is never taken for a duplicate.
+        let chunk: Chunk<'_> = serde_json::from_slice(&event.data).map_err(|_| Fault::Malformed)?;
+        if chunk.request() != Some(self.request) {
+            return Err(Fault::Crossed);
+        }
+        if offset < self.next {
+            return Ok(Step::Duplicate);
+        }
+        self.check_offset(offset)?;
+        if chunk.error.is_some() {
+            return Err(Fault::Engine);
+        }
+        self.note(chunk, event.data.len())?;
+        self.next += 1;
+        Ok(Step::Deliver(event))
+    }
+
+    fn end(&mut self, offset: Option<u64>) -> Result<Step, Fault> {
+        if let Some(offset) = offset {
+            self.check_offset(offset)?;
+        }
+        // A marker after a lost tail must not make a truncated answer look complete.
+        if self.next == 0 || !self.unfinished.is_empty() {
+            return Err(Fault::Early);
+        }
+        self.ended = true;
+        Ok(Step::End)
+    }
+
+    fn check_offset(&self, got: u64) -> Result<(), Fault> {
+        if got == self.next {
+            return Ok(());
+        }
+        Err(Fault::Gap {
+            expected: self.next,
+            got,
+        })
+    }
+
+    fn note(&mut self, chunk: Chunk<'_>, bytes: usize) -> Result<(), Fault> {
+        if let Some(whole) = &self.whole
+            && whole.bytes + bytes > MAX_WHOLE_BYTES
+        {
+            return Err(Fault::TooLarge);
+        }
+        self.note_text(&chunk);
+        for choice in &chunk.choices {
+            let known = self.unfinished.iter().position(|it| *it == choice.index);
+            match (known, &choice.finish_reason) {
+                (Some(position), Some(_)) => {
+                    self.unfinished.swap_remove(position);
+                }
+                (None, None) => self.unfinished.push(choice.index),
+                _ => {}
+            }
+        }
+        if let Some(whole) = &mut self.whole {
+            whole.bytes += bytes;
+            whole.completion.add(chunk);
+        }
+        Ok(())
+    }
+
+    fn note_text(&mut self, chunk: &Chunk<'_>) {
+        let Some(text) = &mut self.text else { return };
+        if !chunk.is_plain_text() {
+            self.text = None;
+            return;
+        }
+        for choice in &chunk.choices {
+            text.push_str(choice.delta.content.as_deref().unwrap_or_default());
+        }
+        if text.len() > MAX_CONTINUATION_BYTES {
+            self.text = None;
+        }
+    }
+}
