Run the whole path against the stand-ins

Cause: the request path had not been run, and the daemon could not say which ports it had bound, so tests could not start several daemons safely.

Change: run_announcing tells the bound addresses. Answers with x-not-started other than 404, 409, 429 and 503 go to the caller as not_run; 404 counts as a refusal, since another server may still serve the model. tests/path.rs drives a streamed completion, one without a stream and a plain service call over real sockets.

--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -128,8 +128,9 @@
     fn without_stream(self, output: Output) -> Response<Body> {
         match output {
             Output::Answer(answer) => {
+                let outcome = answer.outcome();
                 let response = pass_on(answer, self.id, self.driver.source());
-                self.tally.end(Outcome::Done);
+                self.tally.end(outcome);
                 response
             }
             Output::Refused {
@@ -218,17 +219,8 @@
             sse::encode(&problem.event(), piece);
             Some(outcome)
         }
-        Output::Answer(answer) => {
-            // Only an attempt that takes the stream up after its start can end here.
-            let mut problem = Problem::request(
-                answer.status,
-                "backend_failed",
-                "a backend server refused to continue the answer",
-            );
-            problem.outcome = Outcome::Unknown;
-            sse::encode(&problem.event(), piece);
-            Some(Outcome::Unknown)
-        }
+        // The driver yields no whole answer once a stream has begun.
+        Output::Answer(_) => Some(Outcome::Unknown),
     }
 }
 
@@ -244,12 +236,13 @@
 
 /// A backend server's whole answer as the caller gets it.
 pub(crate) fn pass_on(answer: Answer, id: RequestId, source: &Source) -> Response<Body> {
+    let outcome = answer.outcome();
     let mut response = Response::new(Body::Whole(Some(answer.body)));
     *response.status_mut() = answer.status;
     let headers = response.headers_mut();
     *headers = crate::service::end_to_end(&answer.headers);
     describe(headers, id, source);
-    insert_outcome(headers, Outcome::Done);
+    insert_outcome(headers, outcome);
     response
 }
 
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -329,6 +329,10 @@
         match signal {
             Signal::Head(head) => self.head(index, head),
             Signal::Event(event) => return self.event(index, event),
+            // The stream that the caller has begun to read cannot be taken up here.
+            Signal::Answer(_) if self.assembly.next_offset() > 0 => {
+                self.failed(number, Failure::ServerError);
+            }
             Signal::Answer(answer) => {
                 self.source.backend = Some(Arc::clone(&self.attempts[index].backend));
                 self.finished(number);
--- a/crates/daemon/src/entry/listen.rs
+++ b/crates/daemon/src/entry/listen.rs
@@ -23,7 +23,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::Entry;
-use crate::{hub::Hub, memory::Memory, metrics::Metrics, settings::Settings};
+use crate::{Addresses, Bound, hub::Hub, memory::Memory, metrics::Metrics, settings::Settings};
 
 /// Streams that one HTTP/2 connection may have open.
 const MAX_CONCURRENT_STREAMS: u32 = 256;
@@ -45,6 +45,7 @@
     let listener = TcpListener::bind(address)
         .await
         .map_err(|error| miette!("listen.callers: cannot listen on {address}: {error}"))?;
+    announce(&kernel, &listener)?;
     let entry = Arc::new(Entry {
         hub: kernel.require::<Hub>()?,
         metrics: kernel.require::<Metrics>()?,
@@ -64,6 +65,17 @@
     }))
 }
 
+fn announce(kernel: &Kernel, listener: &TcpListener) -> miette::Result<()> {
+    let bound = kernel.require::<Bound>()?;
+    let admin = *bound.admin.lock();
+    let announce = bound.announce.lock().take();
+    if let (Ok(callers), Some(admin), Some(announce)) = (listener.local_addr(), admin, announce) {
+        // Whoever asked may have stopped waiting.
+        let _ = announce.send(Addresses { callers, admin });
+    }
+    Ok(())
+}
+
 async fn accept(
     listener: TcpListener,
     entry: Arc<Entry>,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Request, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use hyper_util::client::legacy::{Error as ClientError, ResponseFuture};
 use jaystand_policy::{Attempt as Number, Failure};
-use jaystand_types::{Incarnation, RequestId};
+use jaystand_types::{Incarnation, Outcome, RequestId};
 use jaystand_wire::{
     engine::ResponseHead,
     sse::{DONE, Decoder, Event},
@@ -28,6 +28,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether the server has proven that nothing ran.
+    pub(crate) not_started: bool,
 }
 
 /// What an attempt came to next.
@@ -77,6 +79,7 @@
         headers: HeaderMap,
         body: Incoming,
         received: BytesMut,
+        not_started: bool,
     },
     Over,
 }
@@ -94,6 +97,16 @@
     pub(crate) own_connection: bool,
 }
 
+impl Answer {
+    pub(crate) fn outcome(&self) -> Outcome {
+        if self.not_started {
+            Outcome::NotRun
+        } else {
+            Outcome::Done
+        }
+    }
+}
+
 impl Attempt {
     pub(crate) fn start(plan: Plan, request: Request<Full<Bytes>>) -> Self {
         let backend = plan.backend;
@@ -191,6 +204,7 @@
                 headers: parts.headers,
                 body,
                 received: BytesMut::new(),
+                not_started: head.not_started,
             };
             return Ok(self.backend.is_service().then_some(Signal::Head(head)));
         }
@@ -223,6 +237,12 @@
                     })
                 }
                 StatusCode::CONFLICT => Some(Failure::Mismatch),
+                // The engine serves another model by now; another server may not.
+                StatusCode::NOT_FOUND => Some(Failure::Refused {
+                    retry_after: head.retry_after,
+                }),
+                // The request itself is at fault, which the caller needs to know.
+                status if status.is_client_error() => None,
                 _ => Some(Failure::ServerError),
             };
         }
@@ -262,10 +282,12 @@
                 status,
                 headers,
                 received,
+                not_started,
                 ..
             } => Signal::Answer(Answer {
                 status,
                 headers,
+                not_started,
                 body: received.freeze(),
             }),
             _ => Signal::Failed(Failure::Broken),
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -4,7 +4,9 @@
 
 use arc_swap::ArcSwapOption;
 use jaystand_kernel::timer::Timer;
-use jaystand_policy::{Action, Attempt, Event, Fleet, Refusal, Request, Router, load, server, team};
+use jaystand_policy::{
+    Action, Attempt, Event, Fleet, Refusal, Request, Router, load, server, team,
+};
 use jaystand_types::{Moment, Outcome, RequestId, ServerId};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, mpsc};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,21 +16,63 @@
 pub mod settings;
 pub mod stream;
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use jaystand_kernel::Kernel;
+use parking_lot::Mutex;
 use prometheus::Registry;
+use tokio::sync::oneshot;
 
 pub use settings::Settings;
 
+/// Where a daemon listens; the ports differ from the settings when those say 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Health, metrics and administration.
+    pub admin: SocketAddr,
+}
+
+/// The listeners bound so far and who waits for them.
+#[derive(Debug, Default)]
+pub(crate) struct Bound {
+    pub(crate) admin: Mutex<Option<SocketAddr>>,
+    pub(crate) announce: Mutex<Option<oneshot::Sender<Addresses>>>,
+}
+
 /// Runs one daemon until `stop` completes and every request has finished. Installs no logger, so that several
 /// daemons can run in one process.
 ///
 /// # Errors
 /// Fails when a part of the daemon does not start, for example because an address is in use.
 pub async fn run(settings: Settings, stop: impl Future<Output = ()>) -> miette::Result<()> {
+    start(settings, stop, None).await
+}
+
+/// Like [`run`], and tells where the daemon listens once it does.
+///
+/// # Errors
+/// Fails as [`run`] does.
+pub async fn run_announcing(
+    settings: Settings,
+    stop: impl Future<Output = ()>,
+    announce: oneshot::Sender<Addresses>,
+) -> miette::Result<()> {
+    start(settings, stop, Some(announce)).await
+}
+
+async fn start(
+    settings: Settings,
+    stop: impl Future<Output = ()>,
+    announce: Option<oneshot::Sender<Addresses>>,
+) -> miette::Result<()> {
     let kernel = Kernel::new(Registry::new());
     let shutdown = settings.shutdown;
     kernel.provide(Arc::new(settings));
+    kernel.provide(Arc::new(Bound {
+        admin: Mutex::default(),
+        announce: Mutex::new(announce),
+    }));
     kernel.run(shutdown.lame_duck, shutdown.drain, stop).await
 }
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -13,7 +13,12 @@
 use jaystand_policy::{Router, load::Report, router};
 use jaystand_wire::engine::{LOAD_PATH, Load};
 
-use crate::{backend::Backend, config, hub::Hub, settings::Settings};
+use crate::{
+    backend::Backend,
+    config,
+    hub::Hub,
+    settings::{PolicyName, Settings},
+};
 
 const PERIOD: Duration = Duration::from_secs(1);
 const TIMEOUT: Duration = Duration::from_millis(800);
@@ -43,6 +48,20 @@
     Ok(Running::until(async move { tasks.shutdown().await }))
 }
 
+fn router_settings(settings: &Settings) -> router::Settings {
+    router::Settings {
+        strategy: match settings.policy.name {
+            PolicyName::Jaystand => router::Strategy::Jaystand,
+            PolicyName::HashOnly => router::Strategy::HashOnly,
+            PolicyName::LeastLoaded => router::Strategy::LeastLoaded,
+            PolicyName::RoundRobin => router::Strategy::RoundRobin,
+        },
+        data_centre: settings.host.data_centre.clone(),
+        queue: settings.limits.queue,
+        ..router::Settings::default()
+    }
+}
+
 async fn follow_configuration(kernel: Kernel, store: Arc<config::Store>, hub: Arc<Hub>) {
     let gate = kernel.lifecycle().gate("a configuration");
     let mut changes = store.subscribe();
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -73,8 +73,9 @@
     let mut driver = Driver::new(handle, job, false, deadline, rule.urgency, metrics);
     let mut response = match driver.next().await {
         Output::Answer(answer) => {
+            let outcome = answer.outcome();
             let response = chat::pass_on(answer, call.id, driver.source());
-            tally.end(Outcome::Done);
+            tally.end(outcome);
             response
         }
         Output::Refused {
--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,56 @@
+//! Guards the whole path of a request: caller, daemon, backend server and back.
+
+mod support;
+
+use support::{Daemon, standard, start_engine, start_service, stream_text};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_completion_arrives_whole() {
+    let (engine, service) = (start_engine(1), start_service());
+    let daemon = Daemon::start(standard(&[&engine], &service)).await;
+    let reply = daemon.chat(true, "which tank leaks?", 20).await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("x-served-by"), "e0");
+    let text = stream_text(&reply);
+    let record = engine.records().pop().expect("a record");
+    assert_eq!(
+        text,
+        jaystand_standin::engine::answer_text(record.prompt, 20)
+    );
+    daemon.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_completion_without_a_stream_is_one_object_with_usage() {
+    let (engine, service) = (start_engine(1), start_service());
+    let daemon = Daemon::start(standard(&[&engine], &service)).await;
+    let reply = daemon.chat(false, "which tank leaks?", 20).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.header("x-outcome"), "done");
+    let answer = reply.json();
+    let record = engine.records().pop().expect("a record");
+    let text = jaystand_standin::engine::answer_text(record.prompt, 20);
+    assert_eq!(answer["object"], "chat.completion");
+    assert_eq!(answer["choices"][0]["message"]["content"], text);
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+    assert_eq!(answer["usage"]["completion_tokens"], 20);
+    daemon.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_call_passes_through() {
+    let (engine, service) = (start_engine(1), start_service());
+    let daemon = Daemon::start(standard(&[&engine], &service)).await;
+    let headers = [("idempotency-key", "k1")];
+    let reply = daemon
+        .post("/services/lookup/rooms/7", &headers, "room 7")
+        .await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.text(), "room 7");
+    assert_eq!(reply.header("x-served-by"), "jobs-0");
+    let record = service.records().pop().expect("a record");
+    assert_eq!(record.path, "/services/lookup/rooms/7");
+    assert_eq!(record.key.as_deref(), Some("k1"));
+    assert_eq!(record.request, reply.header("x-request-id"));
+    daemon.stop().await;
+}
