--- /dev/null
+++ b/crates/daemon/tests/assembly.rs
@@ -0,0 +1,168 @@
+//! Guards the assembly of an answer: whatever the attempts send, the caller gets a whole prefix or a whole answer.
+
+use bytes::Bytes;
+use jaystand_daemon::stream::{Assembly, Fault, MAX_CONTINUATION_BYTES, Step};
+use jaystand_wire::{chunk::render_id, sse::Event};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+const REQUEST: u64 = 0xabc;
+
+fn raw(offset: Option<u64>, data: impl Into<Bytes>) -> Event {
+    Event {
+        offset,
+        name: Bytes::new(),
+        data: data.into(),
+    }
+}
+
+fn text(offset: u64, content: &str) -> Event {
+    let choice = json!({"index": 0, "delta": {"content": content}, "finish_reason": null});
+    chunk(offset, REQUEST, &choice)
+}
+
+fn last(offset: u64) -> Event {
+    let choice = json!({"index": 0, "delta": {}, "finish_reason": "stop"});
+    chunk(offset, REQUEST, &choice)
+}
+
+fn chunk(offset: u64, request: u64, choice: &Value) -> Event {
+    let data = json!({"id": render_id(request), "choices": [choice]});
+    raw(Some(offset), data.to_string())
+}
+
+fn done() -> Event {
+    raw(None, "[DONE]")
+}
+
+/// One letter an event: delivered, duplicate, end, or the fault's.
+fn run(assembly: &mut Assembly, events: Vec<Event>) -> String {
+    let outcome = |event| match assembly.accept(event) {
+        Ok(Step::Deliver(_)) => 'd',
+        Ok(Step::Duplicate) => '=',
+        Ok(Step::End) => 'e',
+        Err(Fault::Gap { .. }) => 'G',
+        Err(Fault::Crossed) => 'C',
+        Err(Fault::Malformed) => 'M',
+        Err(Fault::Early) => 'E',
+        Err(Fault::Engine) => 'X',
+        Err(Fault::TooLarge) => 'L',
+    };
+    events.into_iter().map(outcome).collect()
+}
+
+#[test]
+fn each_kind_of_event_is_judged() {
+    let foreign = chunk(
+        1,
+        REQUEST + 1,
+        &json!({"index": 0, "delta": {"content": "x"}}),
+    );
+    let old_foreign = chunk(
+        0,
+        REQUEST + 1,
+        &json!({"index": 0, "delta": {"content": "x"}}),
+    );
+    let error = json!({"id": render_id(REQUEST), "error": {"message": "out of memory"}});
+    let cases: Vec<(&str, Vec<Event>, &str)> = vec![
+        ("in order", vec![text(0, "a"), last(1), done()], "dde"),
+        (
+            "duplicate",
+            vec![text(0, "a"), text(0, "a"), last(1), done()],
+            "d=de",
+        ),
+        ("gap", vec![text(0, "a"), text(2, "c")], "dG"),
+        ("first missing", vec![text(1, "b")], "G"),
+        (
+            "reordered",
+            vec![text(0, "a"), text(2, "c"), text(1, "b"), text(2, "c")],
+            "dGdd",
+        ),
+        ("crossed", vec![text(0, "a"), foreign], "dC"),
+        (
+            "crossed with an old offset",
+            vec![text(0, "a"), old_foreign],
+            "dC",
+        ),
+        ("no offset", vec![raw(None, "{}")], "M"),
+        ("not JSON", vec![raw(Some(0), "{\"id\":")], "M"),
+        ("not UTF-8", vec![raw(Some(0), &b"\xff\xfe"[..])], "M"),
+        ("no id", vec![raw(Some(0), "{}")], "M"),
+        ("engine error", vec![raw(Some(0), error.to_string())], "X"),
+        ("marker first", vec![done()], "E"),
+        ("marker after a lost tail", vec![text(0, "a"), done()], "dE"),
+        (
+            "marker after a lost chunk",
+            vec![text(0, "a"), last(1), raw(Some(3), "[DONE]")],
+            "ddG",
+        ),
+        (
+            "marker with its offset",
+            vec![text(0, "a"), last(1), raw(Some(2), "[DONE]")],
+            "dde",
+        ),
+    ];
+    for (name, events, expected) in cases {
+        let mut assembly = Assembly::new(REQUEST, true);
+        assert_eq!(run(&mut assembly, events), expected, "{name}");
+        assert_eq!(assembly.ended(), expected.ends_with('e'), "{name}");
+        assert_eq!(assembly.whole().is_some(), assembly.ended(), "{name}");
+    }
+}
+
+// An answer with two alternatives ends when both have ended.
+#[test]
+fn every_alternative_must_end() {
+    let choice = |index: u32, reason: Value| json!({"index": index, "delta": {"content": "x"}, "finish_reason": reason});
+    let mut assembly = Assembly::new(REQUEST, false);
+    let events = vec![
+        chunk(0, REQUEST, &choice(0, Value::Null)),
+        chunk(1, REQUEST, &choice(1, Value::Null)),
+        chunk(2, REQUEST, &choice(0, json!("stop"))),
+        done(),
+        chunk(3, REQUEST, &choice(1, json!("stop"))),
+        done(),
+    ];
+    assert_eq!(run(&mut assembly, events), "dddEde");
+}
+
+// Another engine can continue from text alone; anything else would be lost or repeated.
+#[test]
+fn only_plain_text_can_be_continued() {
+    let mut assembly = Assembly::new(REQUEST, false);
+    run(&mut assembly, vec![text(0, "so "), text(1, "far")]);
+    assert_eq!(assembly.continuation(), Some("so far"));
+    let tool = json!({"index": 0, "delta": {"tool_calls": [{"index": 0}]}});
+    run(&mut assembly, vec![chunk(2, REQUEST, &tool), text(3, "x")]);
+    assert_eq!(assembly.continuation(), None);
+
+    let mut assembly = Assembly::new(REQUEST, false);
+    let long = "x".repeat(MAX_CONTINUATION_BYTES);
+    run(&mut assembly, vec![text(0, &long)]);
+    assert!(assembly.continuation().is_some());
+    run(&mut assembly, vec![text(1, "x")]);
+    assert_eq!(assembly.continuation(), None);
+}
+
+proptest! {
+    // Any mix of duplicates, gaps and reordering gives a prefix of the answer, and an end only after all of it.
+    #[test]
+    fn what_is_delivered_is_always_a_prefix(order in prop::collection::vec(0_u64..7, 0..60)) {
+        let mut assembly = Assembly::new(REQUEST, false);
+        let mut delivered = Vec::new();
+        for number in order {
+            let event = match number {
+                5 => last(5),
+                6 => done(),
+                offset => text(offset, &offset.to_string()),
+            };
+            match assembly.accept(event) {
+                Ok(Step::Deliver(event)) => delivered.push(event.offset),
+                Ok(Step::End) => prop_assert_eq!(delivered.len(), 6),
+                Ok(Step::Duplicate) | Err(_) => {}
+            }
+            let expected: Vec<Option<u64>> = (0..delivered.len() as u64).map(Some).collect();
+            prop_assert_eq!(&delivered, &expected);
+        }
+    }
+}
