Add run-once claims

Cause: a non-idempotent request may run at most once although daemons crash, callers retry on other daemons and the platform loses answers.

A claim reserves room for its result.

--- /dev/null
+++ b/crates/control/tests/claim.rs
@@ -0,0 +1,193 @@
+//! Claims on one shard: what repeats get, and what is kept in which space.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use jaystand_control::claim::{
+    Action, BodyHash, Corrupt, Fault, Group, Key, MAX_REPLY_BYTES, MAX_SHARD_BYTES, Outcome,
+    RETENTION, Reason, Reply, Seconds, Shard, Verdict,
+};
+use proptest::prelude::*;
+
+/// A shard object without faults, and the daemon that uses it.
+#[derive(Default)]
+struct Store {
+    group: Group,
+    version: u64,
+    value: Bytes,
+    writes: usize,
+    nonce: u64,
+}
+
+impl Store {
+    fn run(&mut self, now: Seconds) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        loop {
+            match self.group.next(Duration::ZERO, now, &mut verdicts) {
+                Action::Read => {
+                    let found = (self.version > 0)
+                        .then(|| (self.version, Shard::decode(self.value.clone()).unwrap()));
+                    self.group
+                        .read(Duration::ZERO, now, Ok(found), &mut verdicts);
+                }
+                Action::Write { shard, .. } => {
+                    self.value = shard.encode();
+                    assert!(self.value.len() <= MAX_SHARD_BYTES);
+                    self.version += 1;
+                    self.writes += 1;
+                    self.group
+                        .wrote(Duration::ZERO, now, Ok(self.version), &mut verdicts);
+                }
+                Action::Sleep(_) | Action::Idle => break,
+            }
+        }
+        verdicts.into_iter().map(|(_, verdict)| verdict).collect()
+    }
+
+    fn claim(&mut self, now: Seconds, key: &str, body: &[u8]) -> (u64, Verdict) {
+        self.nonce += 1;
+        let ticket = self
+            .group
+            .acquire(Key::new("team", key), BodyHash::new(body), self.nonce);
+        (ticket, self.run(now).remove(0))
+    }
+
+    fn order(&mut self, now: Seconds, key: &str, reply: Reply) -> Verdict {
+        let (ticket, verdict) = self.claim(now, key, b"body");
+        if verdict == Verdict::Dispatch {
+            self.group.finish(now, ticket, Outcome::Replied(reply));
+            self.run(now);
+        }
+        verdict
+    }
+}
+
+fn reply(size: usize) -> Reply {
+    Reply {
+        status: 201,
+        content_type: "application/json".into(),
+        body: vec![b'x'; size].into(),
+    }
+}
+
+/// Guards against running a repeat, against answering another request's result, and against a key that comes back to
+/// life after the retention time.
+#[test]
+fn repeats_get_the_first_answer_until_it_expires() {
+    let mut store = Store::default();
+    assert_eq!(store.order(0, "a", reply(3)), Verdict::Dispatch);
+    assert_eq!(
+        store.order(0, "large", reply(MAX_REPLY_BYTES + 1)),
+        Verdict::Dispatch
+    );
+    let (open, verdict) = store.claim(5, "open", b"body");
+    assert_eq!(verdict, Verdict::Dispatch);
+    let late = RETENTION - 1;
+    assert_eq!(store.claim(late, "a", b"body").1, Verdict::Answer(reply(3)));
+    assert_eq!(store.claim(late, "a", b"other").1, Verdict::KeyReused);
+    assert_eq!(
+        store.claim(late, "large", b"body").1,
+        Verdict::Unknown(Reason::NotKept)
+    );
+    assert_eq!(
+        store.claim(late, "open", b"body").1,
+        Verdict::Unknown(Reason::InProgress)
+    );
+    assert_eq!(
+        store.claim(RETENTION, "a", b"body").1,
+        Verdict::Unknown(Reason::Expired)
+    );
+    assert_eq!(store.claim(RETENTION, "new", b"body").1, Verdict::Dispatch);
+    assert_eq!(
+        store.claim(900 * RETENTION, "a", b"body").1,
+        Verdict::Unknown(Reason::Expired)
+    );
+    store.group.finish(RETENTION, open, Outcome::NotSent);
+    store.run(RETENTION);
+    assert_eq!(store.claim(RETENTION, "open", b"body").1, Verdict::Dispatch);
+    assert_ne!(Key::new("ab", "c"), Key::new("a", "bc"));
+}
+
+/// Guards against one write an attempt, and against two attempts on one key in one write.
+#[test]
+fn attempts_of_one_shard_share_a_write() {
+    let mut store = Store::default();
+    for (nonce, key) in ["a", "b", "a", "c"].into_iter().enumerate() {
+        store
+            .group
+            .acquire(Key::new("team", key), BodyHash::new(b""), nonce as u64);
+    }
+    let verdicts = store.run(0);
+    assert_eq!(
+        verdicts
+            .iter()
+            .filter(|verdict| **verdict == Verdict::Dispatch)
+            .count(),
+        3
+    );
+    assert!(verdicts.contains(&Verdict::Unknown(Reason::InProgress)));
+    assert_eq!(store.writes, 1);
+}
+
+/// Guards against a shard that outgrows the platform's limit, drops tombstones, or cannot record a result.
+#[test]
+fn a_full_shard_refuses_claims_and_keeps_results() {
+    let mut store = Store::default();
+    let full = Verdict::NotRun(Reason::Full);
+    let orders = (0..100)
+        .take_while(|number| store.order(0, &number.to_string(), reply(MAX_REPLY_BYTES)) != full);
+    assert!((55..=63).contains(&orders.count()));
+    assert_eq!(
+        store.claim(1, "0", b"body").1,
+        Verdict::Answer(reply(MAX_REPLY_BYTES))
+    );
+    assert_eq!(store.order(RETENTION, "next", reply(1)), full);
+    assert_eq!(
+        store.claim(RETENTION, "0", b"body").1,
+        Verdict::Unknown(Reason::Expired)
+    );
+}
+
+/// Guards against claims that are granted or half recorded while the platform does not answer.
+#[test]
+fn an_unreachable_or_corrupt_shard_grants_nothing() {
+    for (fault, reason) in [
+        (Fault::Unavailable, Reason::Unreachable),
+        (Fault::Corrupt, Reason::Corrupt),
+    ] {
+        let mut store = Store::default();
+        let mut verdicts = Vec::new();
+        store
+            .group
+            .acquire(Key::new("team", "a"), BodyHash::new(b""), 1);
+        assert_eq!(
+            store.group.next(Duration::ZERO, 0, &mut verdicts),
+            Action::Read
+        );
+        store
+            .group
+            .read(Duration::ZERO, 0, Err(fault), &mut verdicts);
+        assert_eq!(
+            verdicts.pop().map(|(_, verdict)| verdict),
+            Some(Verdict::NotRun(reason))
+        );
+        assert!(store.group.is_settled());
+    }
+}
+
+proptest! {
+    /// Guards against a shard that does not survive its encoding, or that is read although it is damaged.
+    #[test]
+    fn damaged_shards_are_refused(keys in prop::collection::vec("[a-z]{1,4}", 1..20), at: prop::sample::Index, bit in 0..8) {
+        let mut store = Store::default();
+        for (index, key) in keys.iter().enumerate() {
+            store.order(index as u64 * RETENTION / 9, key, reply(index));
+        }
+        let shard = Shard::decode(store.value.clone()).unwrap();
+        prop_assert_eq!(shard.encode(), store.value.clone());
+        let mut damaged = store.value.to_vec();
+        damaged[at.index(store.value.len())] ^= 1_u8 << bit;
+        prop_assert!(Shard::decode(damaged.into()).is_err());
+        prop_assert_eq!(Shard::decode(Bytes::from_static(&[8, 2])), Err(Corrupt::Format(2)));
+    }
+}
