Trace each hop and test planned stop, backpressure and trace context

Cause: the time of a request could not be split over its hops, and neither the planned stop nor the bound on memory had been run. A bootstrap file with faults and no other source of configuration left a daemon that never became ready (seen as a test that waited 60 s).

Change: spans caller, placement, admission and attempt, exported by OTLP from main only; traceparent taken in and passed on. A rejected bootstrap file is an error at start when there is neither platform nor peer. Tests: a planned stop under load with 12 callers and a stream longer than the lame duck time; a caller that does not read 64 MiB; the trace context at an engine.

Conclusion: the planned stop cuts no request that a caller sent before it was told to move.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -173,22 +173,26 @@
     };
     let document = read_document(&path)?;
     if settings.platform.is_none() && settings.peers.seeds.is_empty() {
-        apply_bootstrap(&store, document);
+        // Nothing else can bring a configuration, so the daemon would never become ready.
+        apply_bootstrap(&store, document)?;
         return Ok(Running::detached());
     }
     let timer = kernel.timer().clone();
     tokio::spawn(async move {
         timer.at(timer.now() + BOOTSTRAP_WAIT).tick().await;
-        apply_bootstrap(&store, document);
+        if let Err(faults) = apply_bootstrap(&store, document) {
+            log::error!("the bootstrap configuration was rejected: {faults}");
+        }
     });
     Ok(Running::detached())
 }
 
-fn apply_bootstrap(store: &Store, document: Document) {
+fn apply_bootstrap(store: &Store, document: Document) -> Result<(), Faults> {
     if store.current().is_some() {
-        return;
+        return Ok(());
     }
-    if let Offered::Rejected(faults) = store.offer(document) {
-        log::error!("the bootstrap configuration was rejected: {faults}");
+    match store.offer(document) {
+        Offered::Rejected(faults) => Err(faults),
+        Offered::Applied | Offered::NotNewer(_) => Ok(()),
     }
 }
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -14,6 +14,7 @@
 };
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use tracing::Span;
 
 use crate::{
     backend::Backend,
@@ -21,6 +22,7 @@
     hub::{Dispatch, Handle, Order},
     metrics::Metrics,
     stream::{Assembly, Fault, Step},
+    trace,
 };
 
 /// What the request sends to backend servers.
@@ -89,6 +91,10 @@
     assembly: Assembly,
     source: Source,
     dispatched: bool,
+    /// The caller's span, kept open until the answer has ended.
+    span: Span,
+    /// Open until the first attempt is made.
+    admission: Option<Span>,
 }
 
 impl Driver {
@@ -115,6 +121,8 @@
             assembly,
             source: Source::default(),
             dispatched: false,
+            span: Span::current(),
+            admission: Some(tracing::info_span!(target: "jaystand", "admission")),
         }
     }
 
@@ -206,11 +214,20 @@
             Some(position) => self.build(&dispatch, position),
             None => None,
         };
-        let Some((message, expected)) = built else {
+        let Some((mut message, expected)) = built else {
             self.failed(dispatch.attempt, Failure::NotSent);
             return;
         };
+        let span = tracing::info_span!(
+            target: "jaystand",
+            parent: &self.span,
+            "attempt",
+            number = dispatch.attempt,
+            server = backend.server.name.as_str()
+        );
+        trace::pass_on(&span, message.headers_mut());
         let plan = Plan {
+            span,
             number: dispatch.attempt,
             expected,
             first_token_deadline: dispatch.first_token_deadline,
@@ -223,6 +240,7 @@
     }
 
     fn note_dispatch(&mut self, dispatch: &Dispatch) {
+        self.admission = None;
         if !self.dispatched {
             self.dispatched = true;
             let waited = self.submitted.elapsed();
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,6 +18,7 @@
     Moment, Outcome, RequestId, TeamId, Urgency, parse_request_id, render_request_id,
 };
 use jaystand_wire::header;
+use tracing::Instrument;
 
 use crate::{
     chat,
@@ -27,6 +28,7 @@
     reply::{Body, Problem, insert},
     service,
     settings::Settings,
+    trace,
 };
 
 /// When to come back while the daemon has no configuration or a full queue.
@@ -77,7 +79,13 @@
     pub(crate) async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let version = request.version();
         let id: RequestId = rand::random();
-        let mut response = match self.route(id, request).await {
+        let span = tracing::info_span!(
+            target: "jaystand",
+            "caller",
+            request = render_request_id(id).as_str()
+        );
+        trace::adopt(&span, request.headers());
+        let mut response = match self.route(id, request).instrument(span).await {
             Ok(response) => response,
             Err(problem) => {
                 self.metrics.rejected(problem.code);
@@ -190,7 +198,9 @@
                 first_token_target: rule.limits.first_token,
                 servers: Arc::clone(&rule.servers),
             };
-            match self.hub.submit(&call.configured, request) {
+            let placement = tracing::info_span!(target: "jaystand", "placement");
+            let submitted = placement.in_scope(|| self.hub.submit(&call.configured, request));
+            match submitted {
                 Ok(handle) => {
                     self.memory.begin(call.id, &call.team);
                     let tally = Tally {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -14,6 +14,7 @@
     sse::{DONE, Decoder, Event},
 };
 use tokio::time::Instant;
+use tracing::Span;
 
 use crate::backend::Backend;
 
@@ -64,6 +65,8 @@
     token_deadline: Duration,
     deadline: Instant,
     state: State,
+    /// Open as long as the attempt.
+    _span: Span,
 }
 
 #[derive(Debug)]
@@ -87,6 +90,7 @@
 /// How to send an attempt.
 #[derive(Debug)]
 pub(crate) struct Plan {
+    pub(crate) span: Span,
     pub(crate) number: Number,
     pub(crate) backend: Arc<Backend>,
     pub(crate) expected: Expected,
@@ -122,6 +126,7 @@
             token_deadline: plan.token_deadline,
             deadline: Instant::now() + plan.first_token_deadline,
             state: State::Sent(response),
+            _span: plan.span,
             backend,
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod service;
 pub mod settings;
 pub mod stream;
+pub mod trace;
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::Parser;
-use jaystand_daemon::{Settings, settings};
+use jaystand_daemon::{Settings, settings, trace};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Routes language-model traffic whose prompts share long prefixes.
@@ -40,7 +40,15 @@
         .map_err(|error| miette::miette!("the runtime does not start: {error}"))?;
     runtime.block_on(async {
         let stop = stop_signal()?;
-        jaystand_daemon::run(settings, stop).await
+        let traces = match &settings.trace {
+            Some(export) => Some(trace::install(&settings.host, export)?),
+            None => None,
+        };
+        let ended = jaystand_daemon::run(settings, stop).await;
+        if let Some(exporter) = traces {
+            exporter.finish();
+        }
+        ended
     })
 }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A daemon on real sockets in front of stand-ins, and a small caller.
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod raw_engine;
+
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
@@ -131,6 +133,20 @@
     document(servers)
 }
 
+/// One engine that is not a stand-in.
+pub fn with_raw_engine(engine: &raw_engine::RawEngine) -> Document {
+    document(vec![
+        server("raw", engine.address, ServerKind::Engine, "model"),
+        // The sheet names the service, but no test calls it here.
+        server(
+            "jobs-0",
+            ([127, 0, 0, 1], 1).into(),
+            ServerKind::Service,
+            "jobs",
+        ),
+    ])
+}
+
 impl Daemon {
     pub async fn start(document: Document) -> Self {
         Self::start_with(document, |_| {}).await
@@ -250,6 +266,11 @@
             .await
     }
 
+    /// What stops the daemon when it is dropped.
+    pub fn take_stop(&mut self) -> oneshot::Sender<()> {
+        self.stop.take().expect("running")
+    }
+
     /// Asks the daemon to stop without waiting for it.
     pub fn begin_stop(&mut self) {
         self.stop.take();
