Add configuration precedence

Cause: an accepted sheet must be in force everywhere and never revert, although operators race and the platform loses answers.

`config::Accept` replaces a parent by one conditional update and settles lost answers by reading back, if need be from the history object. The history object of the document in force is written before it is replaced, so that the history has no gaps after crashes. `config::Fetch` reads a document and its parts and checks hash and format; a damaged object is reported and never replaced.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,3 +5,4 @@
 //! be tested.
 
 pub mod claim;
+pub mod config;
--- a/crates/control/tests/claim_interleavings.rs
+++ b/crates/control/tests/claim_interleavings.rs
@@ -469,7 +469,7 @@
     ];
     for (keys, faults, crashes, days) in bounds {
         if let Err(violation) = check(Variant::ReadBack, keys, faults, crashes, days) {
-            panic!("{violation:#?}");
+            panic!("{}: {:#?}", violation.property, violation.trace);
         }
     }
 }
--- /dev/null
+++ b/crates/control/tests/config.rs
@@ -0,0 +1,149 @@
+//! Configuration objects: large documents in parts, and damage that must not reach the configuration in force.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use jaystand_control::config::{
+    Accept, Answer, Corrupt, Encoded, Fetch, Head, Input, Object, Progress, Refusal, Step,
+};
+use jaystand_sheet::Document;
+
+/// Objects without faults, and what was written in order.
+#[derive(Default)]
+struct Store {
+    objects: BTreeMap<String, (u64, Bytes)>,
+    written: Vec<String>,
+}
+
+fn id(object: &Object) -> String {
+    format!("{}/{}", object.kind(), object.name())
+}
+
+impl Store {
+    fn accept(&mut self, document: &Document, limit: usize) -> Answer {
+        let mut accept = Accept::new(document, limit);
+        let mut input = Input::Start;
+        loop {
+            input = match accept.handle(input) {
+                Step::Read(object) => Input::Read(Ok(self.objects.get(&id(&object)).cloned())),
+                Step::Write { object, value, .. } => {
+                    let version = self.objects.len() as u64 + 1;
+                    assert!(value.len() <= limit, "{object:?} has {} bytes", value.len());
+                    self.written.push(object.kind().to_owned());
+                    self.objects.insert(id(&object), (version, value));
+                    Input::Wrote(Ok(version))
+                }
+                Step::Done(answer) => return answer,
+            };
+        }
+    }
+
+    fn fetch(&self) -> Result<Option<Document>, Corrupt> {
+        let (mut fetch, mut progress) = Fetch::new(Object::Current);
+        loop {
+            progress = match progress {
+                Progress::Read(object) => fetch.read(Ok(self.objects.get(&id(&object)).cloned())),
+                Progress::Done(found) => return Ok(found.map(|found| found.document)),
+                Progress::Corrupt(corrupt) => return Err(corrupt),
+                Progress::Unreachable => unreachable!("every read succeeds"),
+            };
+        }
+    }
+}
+
+fn document(version: u64, sheet: &str) -> Document {
+    Document {
+        version,
+        parent: version - 1,
+        sheet: sheet.to_owned(),
+        ..Document::default()
+    }
+}
+
+/// Guards against a manifest that is visible before its parts, and against values over the platform's limit.
+#[test]
+fn a_large_document_is_written_in_parts_first() {
+    let mut store = Store::default();
+    let large = document(1, &"row\n".repeat(1000));
+    assert_eq!(
+        store.accept(&large, 700),
+        Answer::Accepted(Head::of(&large))
+    );
+    assert_eq!(store.fetch(), Ok(Some(large)));
+    let small = document(2, "");
+    assert_eq!(
+        store.accept(&small, 700),
+        Answer::Accepted(Head::of(&small))
+    );
+    let last_part = store
+        .written
+        .iter()
+        .rposition(|kind| kind == "config-part")
+        .unwrap();
+    assert_eq!(
+        store.written[last_part + 1..],
+        [
+            "config",
+            "config-history",
+            "config-history",
+            "config",
+            "config-history"
+        ]
+    );
+}
+
+/// Guards against applying or replacing a configuration that cannot be understood.
+#[test]
+fn damage_is_reported_and_not_replaced() {
+    let whole = Encoded::new(&document(1, "row"), 700);
+    let text = String::from_utf8(whole.value.to_vec()).unwrap();
+    let parts = Encoded::new(&document(1, &"row\n".repeat(1000)), 700);
+    let part = parts.parts[0].0.clone();
+    let table = [
+        (Bytes::from_static(b"{"), "does not decode"),
+        (Bytes::from_static(b"{\"format\":2}"), "unknown format 2"),
+        (text.replace("row", "cow").into(), "hash or version"),
+        (
+            text.replacen("\"version\":1", "\"version\":2", 1).into(),
+            "hash or version",
+        ),
+        (
+            text.replacen('{', "{\"new\":1,", 1).into(),
+            "does not decode",
+        ),
+        (parts.value, part.as_str()),
+    ];
+    for (value, expected) in table {
+        let mut store = Store::default();
+        store
+            .objects
+            .insert("config/current".to_owned(), (1, value.clone()));
+        let corrupt = store.fetch().unwrap_err();
+        assert!(corrupt.to_string().contains(expected), "{corrupt}");
+        let answer = store.accept(&document(2, ""), 700);
+        assert_eq!(answer, Answer::Refused(Refusal::Corrupt(corrupt)));
+        assert!(store.written.is_empty());
+    }
+}
+
+/// Guards against an operator who overwrites a document without having seen it.
+#[test]
+fn a_document_on_another_parent_conflicts() {
+    let mut store = Store::default();
+    let first = document(1, "first");
+    assert_eq!(
+        store.accept(&first, 700),
+        Answer::Accepted(Head::of(&first))
+    );
+    let conflict = Answer::Conflict {
+        in_force: Some(Box::new(first)),
+    };
+    assert_eq!(store.accept(&document(1, "other"), 700), conflict);
+    assert_eq!(store.accept(&document(3, "other"), 700), conflict);
+    let mut same = document(2, "");
+    same.parent = 2;
+    assert!(matches!(
+        store.accept(&same, 700),
+        Answer::Refused(Refusal::Version { .. })
+    ));
+}
