Add the claim plug-in

Cause: the request path needs claims that share platform updates and whose results survive outages.

Change: `claim::Claims` runs one worker a shard. Attempts that arrive within 3 ms, or while a call is under way, share the next update. A verdict comes at the deadline at the latest. Claims of callers that went away are released; results and releases are retried until recorded, and a drain waits for them. A dropped ticket leaves its key claimed.

Conclusion: the plug-in is ready for the entry; it needs `platform::Client` as a kernel service.

--- a/crates/control/src/claim/group.rs
+++ b/crates/control/src/claim/group.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Drops a dispatched request whose end will never be known. Its claim stays, so that repeats are `unknown`.
+    pub fn forget(&mut self, ticket: Ticket) {
+        let lost = |member: &Member| member.ticket == ticket && member.want == Want::End;
+        self.members.retain(|member| !lost(member));
+    }
+
     /// Gives up an attempt that has no verdict yet, because of its deadline or a shutdown. Returns its verdict, or
     /// nothing when it already had one.
     pub fn abandon(&mut self, now: Seconds, ticket: Ticket, reason: Reason) -> Option<Verdict> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! See the crate README.
+
+pub mod claim;
