Add the configuration watch and acceptance

Cause: daemons learn of configurations from the platform, and operators put them in force there.

Change: `watch::Watch` reads the configuration after a start spread over 1 s, then holds the long-poll watch and offers each document that it reads; damaged objects are counted, logged and passed over. `watch::read` and `watch::accept` run the decisions of `control::config` over the platform client.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,4 @@
 //! See the crate README.
 
 pub mod claim;
+pub mod watch;
--- /dev/null
+++ b/crates/daemon/src/watch.rs
@@ -0,0 +1,183 @@
+//! The `watch` plug-in: learns of configurations from the platform, and the calls that accept new ones.
+//!
+//! Only chosen daemons hold the platform's watch; the others read the configuration once, at their start, and learn
+//! of changes from their peers.
+
+use std::time::Duration;
+
+use jaystand_control::config::{
+    Accept, Answer, Corrupt, Fault, Fetch, Input, MAX_VALUE_BYTES, Object, Progress, Step,
+};
+use jaystand_platform::{Backoff, Client, Error, Revision};
+use jaystand_sheet::Document;
+use jaystand_types::Version;
+use prometheus::{IntCounterVec, Opts, Registry};
+
+/// Spread of the first reads after a start. Three reads of each of 360 daemons restarted together stay below the
+/// 2,000 reads/s that the platform takes.
+const START_SPREAD: Duration = Duration::from_secs(1);
+
+/// Delay before the first retry after a failed read or watch.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
+/// How often a daemon that does not hold the watch looks whether it is chosen.
+const ELECTION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the configuration in force and offers each document that it finds.
+pub struct Watch<O> {
+    client: Client,
+    offer: O,
+    reads: IntCounterVec,
+}
+
+/// Why a configuration could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
+pub enum ReadError {
+    /// The platform failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Platform(#[from] Error),
+    /// The object cannot be understood.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Corrupt(#[from] Corrupt),
+}
+
+impl<O: Fn(Document)> Watch<O> {
+    /// A watch that gives every document it reads to `offer`, which decides whether it is newer.
+    ///
+    /// # Errors
+    /// Fails when `metrics` already has this plug-in's counters.
+    pub fn new(client: Client, offer: O, metrics: &Registry) -> Result<Self, prometheus::Error> {
+        let options = Opts::new(
+            "jaystand_config_reads_total",
+            "Reads of the configuration from the platform by result.",
+        );
+        let reads = IntCounterVec::new(options, &["result"])?;
+        metrics.register(Box::new(reads.clone()))?;
+        Ok(Self {
+            client,
+            offer,
+            reads,
+        })
+    }
+
+    /// Follows the configuration until dropped.
+    pub async fn run(self) {
+        tokio::time::sleep(START_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        let mut backoff = Backoff::new(FIRST_BACKOFF);
+        loop {
+            if let Err(error) = self.follow(&mut backoff).await {
+                log::warn!("the configuration cannot be followed, trying again: {error}");
+                tokio::time::sleep(backoff.delay(error.retry_after())).await;
+                continue;
+            }
+            while !self.elected() {
+                tokio::time::sleep(ELECTION_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Whether this daemon holds the watch.
+    #[expect(
+        clippy::unused_self,
+        reason = "decided by the member view once there is one"
+    )]
+    fn elected(&self) -> bool {
+        true
+    }
+
+    /// Reads the configuration, then watches it while chosen.
+    async fn follow(&self, backoff: &mut Backoff) -> Result<(), Error> {
+        // The revision is taken before the read, so that no change falls between read and watch.
+        let mut revision: Revision = self.client.list(Object::Current.kind()).await?.revision;
+        self.refresh().await?;
+        while self.elected() {
+            let changes = self.client.watch(Object::Current.kind(), revision).await?;
+            backoff.reset();
+            let current = Object::Current.name();
+            if changes.events.iter().any(|change| current == change.name) {
+                self.refresh().await?;
+            }
+            revision = changes.revision;
+        }
+        Ok(())
+    }
+
+    /// Reads the configuration and offers it. An object that cannot be understood is reported and left alone, and
+    /// the configuration in force stays.
+    async fn refresh(&self) -> Result<(), Error> {
+        let result = match read(&self.client, Object::Current).await {
+            Ok(Some(document)) => {
+                (self.offer)(document);
+                "offered"
+            }
+            Ok(None) => "absent",
+            Err(ReadError::Corrupt(corrupt)) => {
+                log::error!("config/current is ignored: {corrupt}");
+                "corrupt"
+            }
+            Err(ReadError::Platform(error)) => {
+                self.reads.with_label_values(&["failed"]).inc();
+                return Err(error);
+            }
+        };
+        self.reads.with_label_values(&[result]).inc();
+        Ok(())
+    }
+}
+
+/// Reads a configuration with its parts; `None` when the object does not exist.
+///
+/// # Errors
+/// Fails when the platform does not answer or the object cannot be understood.
+pub async fn read(client: &Client, object: Object) -> Result<Option<Document>, ReadError> {
+    let (mut fetch, mut progress) = Fetch::new(object);
+    loop {
+        progress = match progress {
+            Progress::Read(object) => {
+                let found = client.get(object.kind(), &object.name()).await?;
+                fetch.read(Ok(found.map(|object| (object.version, object.value))))
+            }
+            Progress::Done(found) => return Ok(found.map(|found| found.document)),
+            Progress::Corrupt(corrupt) => return Err(corrupt.into()),
+            // Failed reads have returned above.
+            Progress::Unreachable => return Err(Error::Lost.into()),
+        };
+    }
+}
+
+/// Puts a document that has been checked whole in force, if its parent is.
+pub async fn accept(client: &Client, document: &Document) -> Answer {
+    let mut accept = Accept::new(document, MAX_VALUE_BYTES);
+    let mut input = Input::Start;
+    loop {
+        input = match accept.handle(input) {
+            Step::Read(object) => {
+                let found = client.get(object.kind(), &object.name()).await;
+                let found = found.map(|found| found.map(|object| (object.version, object.value)));
+                Input::Read(found.map_err(|_| Fault::Unavailable))
+            }
+            Step::Write {
+                object,
+                expected,
+                value,
+            } => {
+                let put = client
+                    .put(object.kind(), &object.name(), expected.into(), value)
+                    .await;
+                Input::Wrote(write_result(put))
+            }
+            Step::Done(answer) => return answer,
+        };
+    }
+}
+
+fn write_result(put: Result<Version, Error>) -> Result<Version, Fault> {
+    put.map_err(|error| match error {
+        Error::Conflict => Fault::Conflict,
+        Error::Lost => Fault::Lost,
+        // The other classes say that the write was not taken.
+        _ => Fault::Unavailable,
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/watch.rs
@@ -0,0 +1,123 @@
+//! The configuration watch and acceptance against the platform stand-in.
+
+use std::time::Duration;
+
+use jaystand_control::config::{Answer, Head, Object, Refusal};
+use jaystand_daemon::watch::{Watch, accept, read};
+use jaystand_platform::{Client, Settings};
+use jaystand_sheet::Document;
+use jaystand_standin::platform::{self, Faults};
+use prometheus::Registry;
+use tokio::sync::mpsc;
+
+/// Only bounds a failing test; no step waits for it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn document(version: u64, sheet: &str) -> Document {
+    Document {
+        version,
+        parent: version - 1,
+        sheet: sheet.to_owned(),
+        ..Document::default()
+    }
+}
+
+fn client(platform: &platform::Handle) -> Client {
+    let mut settings = Settings::new(platform.address(), 1000);
+    settings.first_backoff = Duration::from_millis(1);
+    Client::new(settings, &Registry::new()).unwrap()
+}
+
+fn faults(lost_before: f64, lost_after: f64) -> Faults {
+    Faults {
+        lost_before,
+        lost_after,
+        ..Faults::default()
+    }
+}
+
+/// Guards against a missed change, and against a damaged object that stops the watch or reaches the store.
+#[tokio::test]
+async fn changes_are_offered_and_damage_is_passed_over() {
+    let platform = platform::start(platform::Settings::default()).unwrap();
+    let client = client(&platform);
+    let first = document(1, "");
+    assert_eq!(
+        accept(&client, &first).await,
+        Answer::Accepted(Head::of(&first))
+    );
+    let (offered, mut offers) = mpsc::unbounded_channel();
+    let offer = move |document: Document| {
+        let _ = offered.send(document);
+    };
+    let registry = Registry::new();
+    let watch = Watch::new(client.clone(), offer, &registry).unwrap();
+    let task = tokio::spawn(watch.run());
+    let mut next = async || {
+        tokio::time::timeout(PATIENCE, offers.recv())
+            .await
+            .unwrap()
+            .unwrap()
+    };
+    assert_eq!(next().await, first);
+    // Over the value limit, so that it is stored in parts.
+    let large = document(2, &"row\n".repeat(300_000));
+    assert_eq!(
+        accept(&client, &large).await,
+        Answer::Accepted(Head::of(&large))
+    );
+    assert_eq!(next().await, large);
+    let (_, whole) = platform.standin().object("config", "current").unwrap();
+    platform
+        .standin()
+        .set_object("config", "current", "{\"format\":9}");
+    let seen = |label: &str| {
+        let families = registry.gather();
+        let metrics = families
+            .iter()
+            .flat_map(prometheus::proto::MetricFamily::get_metric);
+        metrics
+            .flat_map(prometheus::proto::Metric::get_label)
+            .any(|found| found.value() == label)
+    };
+    let damaged = async {
+        while !seen("corrupt") {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, damaged).await.unwrap();
+    platform.standin().set_object("config", "current", whole);
+    assert_eq!(next().await, large);
+    assert_eq!(read(&client, Object::History(1)).await, Ok(Some(first)));
+    task.abort();
+}
+
+/// Guards against a false report to the operator when the platform loses answers.
+#[tokio::test]
+async fn lost_answers_are_settled() {
+    let platform = platform::start(platform::Settings::default()).unwrap();
+    let client = client(&platform);
+    platform.set_faults(faults(0.0, 1.0));
+    let first = document(1, "");
+    assert_eq!(
+        accept(&client, &first).await,
+        Answer::Accepted(Head::of(&first))
+    );
+    platform.set_faults(faults(1.0, 0.0));
+    // The first write, that of the history, is never confirmed, so that `config/current` is not touched.
+    let refused = Answer::Refused(Refusal::Unreachable);
+    assert_eq!(accept(&client, &document(2, "lost")).await, refused);
+    platform.set_faults(Faults::default());
+    let second = document(2, "");
+    assert_eq!(
+        accept(&client, &second).await,
+        Answer::Accepted(Head::of(&second))
+    );
+    let late = accept(&client, &document(2, "other")).await;
+    assert_eq!(
+        late,
+        Answer::Conflict {
+            in_force: Some(Box::new(second))
+        }
+    );
+}
