--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 mod backend;
 mod chat;
+pub mod claim;
 pub mod config;
 mod drive;
 mod entry;
@@ -10,12 +11,14 @@
 mod hub;
 mod memory;
 mod metrics;
+mod once;
 mod poll;
 mod reply;
 mod service;
 pub mod settings;
 pub mod stream;
 pub mod trace;
+pub mod watch;
 
 use std::{net::SocketAddr, sync::Arc};
 
