--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,280 @@
+//! A caller of the daemons: sends one request and judges what comes back.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::Value;
+
+/// A caller with its pool of keep-alive connections. Clones share the pool.
+#[derive(Clone, Debug)]
+pub struct Caller(Client<HttpConnector, Full<Bytes>>);
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Path.
+    pub path: String,
+    /// API key of the team.
+    pub key: String,
+    /// Request kind.
+    pub kind: String,
+    /// Idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Body.
+    pub body: Bytes,
+    /// Pause between reads of a slow reader.
+    pub read_pause: Duration,
+}
+
+/// Why there is no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// The connection could not be opened.
+    Connect,
+    /// The connection broke before the response head.
+    Head,
+    /// The connection broke within the body.
+    Body,
+    /// The body ended without the terminal marker and without an error.
+    Unmarked,
+    /// The stream ended with an explicit error event.
+    Explicit,
+}
+
+/// What came back.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Status, if a head arrived.
+    pub status: Option<StatusCode>,
+    /// `x-request-id`.
+    pub request_id: String,
+    /// `x-served-by`.
+    pub served_by: String,
+    /// `x-data-centre`.
+    pub data_centre: String,
+    /// `x-cached-tokens`.
+    pub cached_tokens: Option<u32>,
+    /// Outcome, from the header, the last event or the error body.
+    pub outcome: String,
+    /// `Retry-After`.
+    pub retry_after: Option<String>,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// Text of the answer; for plain services and errors, the body.
+    pub text: String,
+    /// Chunks with text.
+    pub chunks: u32,
+    /// Chunks whose completion id is not that of the response head.
+    pub foreign_chunks: u32,
+    /// Why there is no whole answer.
+    pub cut: Option<Cut>,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(2)));
+        Self(Client::builder(TokioExecutor::new()).build(connector))
+    }
+}
+
+impl Caller {
+    /// Sends a call to a daemon and reads the whole answer.
+    pub async fn send(&self, to: SocketAddr, call: &Call) -> Answer {
+        let began = Instant::now();
+        let mut answer = Answer::default();
+        match self.0.request(call.request(to)).await {
+            Ok(response) => answer.read(response, call, began).await,
+            Err(error) if error.is_connect() => answer.cut = Some(Cut::Connect),
+            Err(_) => answer.cut = Some(Cut::Head),
+        }
+        answer.total = began.elapsed();
+        answer
+    }
+
+    /// Reads a path with `GET`; the status and the body.
+    pub async fn get(&self, to: SocketAddr, path: &str, key: &str) -> Option<(StatusCode, String)> {
+        let request = Request::get(format!("http://{to}{path}"))
+            .header("authorization", format!("Bearer {key}"))
+            .body(Full::default())
+            .ok()?;
+        let response = self.0.request(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+}
+
+impl Call {
+    /// A call to the completions path.
+    #[must_use]
+    pub fn completion(
+        key: impl Into<String>,
+        kind: impl Into<String>,
+        body: impl Into<Bytes>,
+    ) -> Self {
+        Self {
+            path: "/v1/chat/completions".to_owned(),
+            key: key.into(),
+            kind: kind.into(),
+            idempotency_key: None,
+            body: body.into(),
+            read_pause: Duration::ZERO,
+        }
+    }
+
+    /// A call to a plain service.
+    #[must_use]
+    pub fn service(
+        key: impl Into<String>,
+        kind: &str,
+        idempotency_key: Option<String>,
+        body: impl Into<Bytes>,
+    ) -> Self {
+        Self {
+            path: format!("/services/{kind}"),
+            idempotency_key,
+            ..Self::completion(key, kind, body)
+        }
+    }
+
+    fn request(&self, to: SocketAddr) -> Request<Full<Bytes>> {
+        let mut request = Request::post(format!("http://{to}{}", self.path))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("x-request-kind", &self.kind)
+            .header("content-type", "application/json");
+        if let Some(key) = &self.idempotency_key {
+            request = request.header("idempotency-key", key);
+        }
+        // The parts are plain ASCII, so the request is well formed.
+        request
+            .body(Full::new(self.body.clone()))
+            .unwrap_or_default()
+    }
+}
+
+impl Answer {
+    /// Whether the whole answer arrived.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        self.status == Some(StatusCode::OK) && self.cut.is_none()
+    }
+
+    /// Whether the daemon says that the request did not run.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        self.outcome == "not_run"
+    }
+
+    async fn read(&mut self, response: Response<Incoming>, call: &Call, began: Instant) {
+        let text = |name: &str| {
+            let value = response.headers().get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
+        };
+        self.status = Some(response.status());
+        self.request_id = text("x-request-id");
+        self.served_by = text("x-served-by");
+        self.data_centre = text("x-data-centre");
+        self.cached_tokens = text("x-cached-tokens").parse().ok();
+        self.outcome = text("x-outcome");
+        self.retry_after = Some(text("retry-after")).filter(|text| !text.is_empty());
+        let streamed = text("content-type").starts_with("text/event-stream");
+        let mut body = response.into_body();
+        if streamed {
+            self.read_stream(body, call.read_pause, began).await;
+            return;
+        }
+        let mut bytes = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                self.cut = Some(Cut::Body);
+                return;
+            };
+            self.first_token.get_or_insert_with(|| began.elapsed());
+            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        self.text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Ok(value) = serde_json::from_str::<Value>(&self.text) {
+            self.take_outcome(&value);
+        }
+    }
+
+    async fn read_stream(&mut self, mut body: Incoming, pause: Duration, began: Instant) {
+        let mut pending = Vec::new();
+        let mut done = false;
+        let mut explicit = false;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                self.cut = Some(Cut::Body);
+                return;
+            };
+            pending.extend_from_slice(&frame.into_data().unwrap_or_default());
+            while let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = pending.drain(..=end).collect();
+                let line = String::from_utf8_lossy(&line);
+                let Some(data) = line.trim_end().strip_prefix("data:") else {
+                    continue;
+                };
+                match data.trim() {
+                    "[DONE]" => done = true,
+                    data => explicit |= self.take_event(data, began),
+                }
+            }
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+        }
+        self.cut = match (explicit, done) {
+            (true, _) => Some(Cut::Explicit),
+            (false, true) => None,
+            (false, false) => Some(Cut::Unmarked),
+        };
+    }
+
+    /// Takes one event; returns whether it is an error.
+    fn take_event(&mut self, data: &str, began: Instant) -> bool {
+        let Ok(value) = serde_json::from_str::<Value>(data) else {
+            return true;
+        };
+        self.take_outcome(&value);
+        if value.get("error").is_some() {
+            return true;
+        }
+        if let Some(text) = value["choices"][0]["delta"]["content"].as_str() {
+            self.first_token.get_or_insert_with(|| began.elapsed());
+            self.chunks += 1;
+            self.text.push_str(text);
+        }
+        let id = value["id"].as_str().unwrap_or_default();
+        if !id.is_empty() && !id.ends_with(&self.request_id) {
+            self.foreign_chunks += 1;
+        }
+        false
+    }
+
+    fn take_outcome(&mut self, value: &Value) {
+        let places = [
+            &value["outcome"],
+            &value["error"]["outcome"],
+            &value["x_outcome"],
+        ];
+        if let Some(outcome) = places.into_iter().find_map(Value::as_str) {
+            outcome.clone_into(&mut self.outcome);
+        }
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -74,6 +74,12 @@
         self.state.lock().incarnation
     }
 
+    /// Requests that run at once.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.settings.slots
+    }
+
     /// Requests running and waiting.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,9 @@
 //! switches and the records, and stops, crashes or restarts the stand-in. Time comes from tokio's
 //! clock and randomness from seeds, so that tests can run on a paused clock.
 
+pub mod caller;
 pub mod engine;
+pub mod fleet;
 mod gate;
 pub mod ledger;
 pub mod platform;
