Add the bench's compare, overhead, stream, faults and drain commands

Change: jaystand-bench with modules in crates/standin/src/bench. Daemons are own processes, ended by id.

--- /dev/null
+++ b/crates/standin/src/bench/mod.rs
@@ -0,0 +1,13 @@
+//! The bench: daemons as their own processes in front of stand-ins in this process.
+
+pub(crate) mod cluster;
+pub(crate) mod compare;
+pub(crate) mod drain;
+pub(crate) mod faults;
+pub(crate) mod measure;
+pub(crate) mod overhead;
+pub(crate) mod plot;
+pub(crate) mod process;
+pub(crate) mod run;
+pub(crate) mod stream;
+pub(crate) mod trace;
