--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,9 @@
-//! See the crate README.
+//! The router daemon: plug-ins that connect sockets to the decision crates.
 
 pub mod admin;
 mod backend;
 mod chat;
+pub mod claim;
 pub mod config;
 mod drive;
 mod entry;
