--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -59,3 +59,25 @@
         })
     }
 }
+
+/// A daemon without a platform grants no claims.
+impl<S: Store + Sync> Store for Option<S> {
+    async fn read(&self, shard: u8) -> Result<Option<(Version, Shard)>, Fault> {
+        match self {
+            Some(store) => store.read(shard).await,
+            None => Err(Fault::Unavailable),
+        }
+    }
+
+    async fn write(
+        &self,
+        shard: u8,
+        expected: Option<Version>,
+        value: Shard,
+    ) -> Result<Version, Fault> {
+        match self {
+            Some(store) => store.write(shard, expected, value).await,
+            None => Err(Fault::Unavailable),
+        }
+    }
+}
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -3,15 +3,34 @@
 //! Only chosen daemons hold the platform's watch; the others read the configuration once, at their start, and learn
 //! of changes from their peers.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use jaystand_control::config::{
     Accept, Answer, Corrupt, Fault, Fetch, Input, MAX_VALUE_BYTES, Object, Progress, Step,
 };
+use jaystand_kernel::{
+    Kernel,
+    plugin::{Running, Stage, Started},
+    register,
+};
 use jaystand_platform::{Backoff, Client, Error, Revision};
 use jaystand_sheet::Document;
 use jaystand_types::Version;
-use prometheus::{IntCounterVec, Opts, Registry};
+use miette::IntoDiagnostic as _;
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+
+use crate::{
+    config::{Offered, Store},
+    platform,
+};
+
+register!("watch", Stage::State, start);
 
 /// Spread of the first reads after a start. Three reads of each of 360 daemons restarted together stay below the
 /// 2,000 reads/s that the platform takes.
@@ -23,10 +42,38 @@
 /// How often a daemon that does not hold the watch looks whether it is chosen.
 const ELECTION_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Whether this daemon is one of those that hold the platform's watch. It is, until the member view says otherwise.
+#[derive(Debug)]
+pub struct Role {
+    elected: AtomicBool,
+}
+
+impl Default for Role {
+    fn default() -> Self {
+        Self {
+            elected: AtomicBool::new(true),
+        }
+    }
+}
+
+impl Role {
+    /// Takes what the member view says.
+    pub fn set_elected(&self, elected: bool) {
+        self.elected.store(elected, Ordering::Relaxed);
+    }
+
+    /// Whether this daemon holds the watch.
+    #[must_use]
+    pub fn elected(&self) -> bool {
+        self.elected.load(Ordering::Relaxed)
+    }
+}
+
 /// Follows the configuration in force and offers each document that it finds.
 pub struct Watch<O> {
     client: Client,
     offer: O,
+    role: Arc<Role>,
     reads: IntCounterVec,
 }
 
@@ -48,7 +95,12 @@
     ///
     /// # Errors
     /// Fails when `metrics` already has this plug-in's counters.
-    pub fn new(client: Client, offer: O, metrics: &Registry) -> Result<Self, prometheus::Error> {
+    pub fn new(
+        client: Client,
+        offer: O,
+        role: Arc<Role>,
+        metrics: &Registry,
+    ) -> Result<Self, prometheus::Error> {
         let options = Opts::new(
             "jaystand_config_reads_total",
             "Reads of the configuration from the platform by result.",
@@ -58,6 +110,7 @@
         Ok(Self {
             client,
             offer,
+            role,
             reads,
         })
     }
@@ -72,27 +125,18 @@
                 tokio::time::sleep(backoff.delay(error.retry_after())).await;
                 continue;
             }
-            while !self.elected() {
+            while !self.role.elected() {
                 tokio::time::sleep(ELECTION_INTERVAL).await;
             }
         }
     }
 
-    /// Whether this daemon holds the watch.
-    #[expect(
-        clippy::unused_self,
-        reason = "decided by the member view once there is one"
-    )]
-    fn elected(&self) -> bool {
-        true
-    }
-
     /// Reads the configuration, then watches it while chosen.
     async fn follow(&self, backoff: &mut Backoff) -> Result<(), Error> {
         // The revision is taken before the read, so that no change falls between read and watch.
         let mut revision: Revision = self.client.list(Object::Current.kind()).await?.revision;
         self.refresh().await?;
-        while self.elected() {
+        while self.role.elected() {
             let changes = self.client.watch(Object::Current.kind(), revision).await?;
             backoff.reset();
             let current = Object::Current.name();
@@ -181,3 +225,39 @@
         _ => Fault::Unavailable,
     })
 }
+
+async fn start(kernel: Kernel) -> Started {
+    let Some(client) = platform::client(&kernel)? else {
+        return Ok(Running::detached());
+    };
+    let role = kernel.require::<Role>().unwrap_or_default();
+    kernel.provide(Arc::clone(&role));
+    let store = kernel.require::<Store>()?;
+    let forks = IntCounter::new(
+        "jaystand_config_forks_total",
+        "Documents with the version of the one in force and other content.",
+    );
+    let forks = forks.into_diagnostic()?;
+    kernel
+        .metrics()
+        .register(Box::new(forks.clone()))
+        .into_diagnostic()?;
+    let offer = move |document| offer(&store, &forks, document);
+    let watch = Watch::new(client.as_ref().clone(), offer, role, kernel.metrics());
+    let task = tokio::spawn(watch.into_diagnostic()?.run());
+    Ok(Running::until(async move { task.abort() }))
+}
+
+fn offer(store: &Store, forks: &IntCounter, document: Document) {
+    let forked = store.current().is_some_and(|active| {
+        active.document.version == document.version && active.document != document
+    });
+    if forked {
+        forks.inc();
+        let version = document.version;
+        log::error!("the platform holds another configuration {version} than the one in force");
+    }
+    if let Offered::Rejected(faults) = store.offer(document) {
+        log::error!("config/current is ignored, because it has faults: {faults}");
+    }
+}
--- a/crates/daemon/tests/watch.rs
+++ b/crates/daemon/tests/watch.rs
@@ -1,6 +1,6 @@
 //! The configuration watch and acceptance against the platform stand-in.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jaystand_control::config::{Answer, Head, Object, Refusal};
 use jaystand_daemon::watch::{Watch, accept, read};
@@ -23,7 +23,7 @@
 }
 
 fn client(platform: &platform::Handle) -> Client {
-    let mut settings = Settings::new(platform.address(), 1000);
+    let mut settings = Settings::new(platform.address(), 1000.0);
     settings.first_backoff = Duration::from_millis(1);
     Client::new(settings, &Registry::new()).unwrap()
 }
@@ -51,7 +51,7 @@
         let _ = offered.send(document);
     };
     let registry = Registry::new();
-    let watch = Watch::new(client.clone(), offer, &registry).unwrap();
+    let watch = Watch::new(client.clone(), offer, Arc::default(), &registry).unwrap();
     let task = tokio::spawn(watch.run());
     let mut next = async || {
         tokio::time::timeout(PATIENCE, offers.recv())
--- a/crates/platform/src/bucket.rs
+++ b/crates/platform/src/bucket.rs
@@ -4,21 +4,23 @@
 
 use jaystand_types::Moment;
 
-/// Refills at a steady rate up to one second's worth.
+/// Refills at a steady rate up to one second's worth, and up to one token at lower rates.
 #[derive(Clone, Debug)]
 pub(crate) struct Bucket {
     per_s: f64,
+    burst: f64,
     tokens: f64,
     refilled: Moment,
 }
 
 impl Bucket {
     /// A full bucket at time zero.
-    pub(crate) fn new(per_s: u32) -> Self {
-        let per_s = f64::from(per_s.max(1));
+    pub(crate) fn new(per_s: f64) -> Self {
+        let burst = per_s.max(1.0);
         Self {
             per_s,
-            tokens: per_s,
+            burst,
+            tokens: burst,
             refilled: Duration::ZERO,
         }
     }
@@ -27,7 +29,7 @@
     pub(crate) fn take(&mut self, now: Moment) -> bool {
         let passed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = self.refilled.max(now);
-        self.tokens = (self.tokens + passed * self.per_s).min(self.per_s);
+        self.tokens = (self.tokens + passed * self.per_s).min(self.burst);
         let granted = self.tokens >= 1.0;
         if granted {
             self.tokens -= 1.0;
--- a/crates/platform/src/bucket/tests.rs
+++ b/crates/platform/src/bucket/tests.rs
@@ -3,7 +3,7 @@
 /// Guards against a daemon that exceeds its share of the platform's calls after an idle time or a clock step back.
 #[test]
 fn never_grants_more_than_a_second_worth_at_once() {
-    let mut bucket = Bucket::new(3);
+    let mut bucket = Bucket::new(3.0);
     let grants = |bucket: &mut Bucket, at| {
         (0..10)
             .filter(|_| bucket.take(Duration::from_secs(at)))
@@ -13,4 +13,8 @@
     assert_eq!(grants(&mut bucket, 1), 3);
     assert_eq!(grants(&mut bucket, 3600), 3);
     assert_eq!(grants(&mut bucket, 10), 0);
+    let mut slow = Bucket::new(0.5);
+    assert_eq!(grants(&mut slow, 0), 1);
+    assert_eq!(grants(&mut slow, 1), 0);
+    assert_eq!(grants(&mut slow, 2), 1);
 }
