--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod service;
 pub mod settings;
 pub mod stream;
+pub mod trace;
 pub mod watch;
 
 use std::{net::SocketAddr, sync::Arc};
