--- a/crates/standin/src/bench/faults.rs
+++ b/crates/standin/src/bench/faults.rs
@@ -310,3 +310,6 @@
         println!("example: {example}");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/standin/src/bench/measure.rs
+++ b/crates/standin/src/bench/measure.rs
@@ -285,3 +285,6 @@
         greatest: *greatest,
     }
 }
+
+#[cfg(test)]
+mod tests;
