--- a/crates/standin/src/bench/cluster.rs
+++ b/crates/standin/src/bench/cluster.rs
@@ -71,10 +71,15 @@
             fleet.platform.address().port()
         ));
         fs::create_dir_all(&directory)?;
+        let bootstrap = directory.join("bootstrap.json");
+        fs::write(&bootstrap, serde_json::to_vec(&fleet.document())?)?;
         let mut running = Vec::new();
         for (index, entry) in entries.iter().enumerate() {
             let settings = directory.join(format!("{}.toml", entry.name));
-            fs::write(&settings, fleet.settings(&entries, index, policy))?;
+            fs::write(
+                &settings,
+                fleet.settings(&entries, index, policy, &bootstrap),
+            )?;
             let log = directory.join(format!("{}.log", entry.name));
             running.push(Mutex::new(Daemon::start(&program, &settings, &log)?));
         }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The two deployments that the design is for, and the stand-ins, directory, routing sheet and daemon
 //! settings that make one up on loopback.
 
-use std::{fmt::Write as _, io, net::SocketAddr, num::NonZeroU32, time::Duration};
+use std::{fmt::Write as _, io, net::SocketAddr, num::NonZeroU32, path::Path, time::Duration};
 
 use compact_str::{CompactString, format_compact};
 use jaystand_sheet::{Directory, Document, Fencing, Model, Server, ServerKind, Team};
@@ -279,9 +279,16 @@
         (0..count).map(entry).collect()
     }
 
-    /// Settings of one daemon, as TOML.
+    /// Settings of one daemon, as TOML. `bootstrap` holds the first configuration for daemons that get none
+    /// from the platform.
     #[must_use]
-    pub fn settings(&self, entries: &[Entry], index: usize, policy: &str) -> String {
+    pub fn settings(
+        &self,
+        entries: &[Entry],
+        index: usize,
+        policy: &str,
+        bootstrap: &Path,
+    ) -> String {
         let own = &entries[index];
         let seeds: Vec<String> = entries
             .iter()
@@ -289,7 +296,8 @@
             .map(|entry| format!("{:?}", entry.peers.to_string()))
             .collect();
         format!(
-            "[host]\nname = {:?}\ndata_centre = {:?}\ndeployment = {:?}\nregion = \"one\"\n\n\
+            "bootstrap = {:?}\n\n\
+             [host]\nname = {:?}\ndata_centre = {:?}\ndeployment = {:?}\nregion = \"one\"\n\n\
              [listen]\ncallers = \"{}\"\nadmin = \"{}\"\npeers = \"{}\"\n\n\
              [platform]\naddress = \"{}\"\n\n\
              [peers]\nseeds = [{}]\nkey = {PEER_KEY:?}\n\n\
@@ -297,6 +305,7 @@
              [policy]\nname = {policy:?}\n\n\
              [shutdown]\nlame_duck = \"300ms\"\ndrain = \"30s\"\n\n\
              [log]\nlevel = \"warn\"\n",
+            bootstrap.to_string_lossy(),
             own.name,
             own.data_centre,
             self.deployment.name,
