Add the peer protocol: proto file, generated code and checked conversion

Cause: daemons had no messages for gossip and fetching. The size account of a digest counted one byte too much for each hot prefix head. Conclusion: the size bound of control::digest holds for what is sent.

--- a/crates/control/src/digest.rs
+++ b/crates/control/src/digest.rs
@@ -304,7 +304,7 @@
     /// Bytes of the message as `peer.proto` encodes it.
     #[must_use]
     pub fn size(&self) -> usize {
-        let hot = |hot: &Hot| message(10 + number(hot.heat.into()));
+        let hot = |hot: &Hot| message(fixed(hot.head) + number(hot.heat.into()));
         entry_size(&self.sender)
             + number(self.round)
             + number(self.config.version)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! See the crate README.
+//! Messages between callers, engines and daemons.
+
+pub mod peer;
