--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,3 +1,9 @@
 //! Messages between callers, engines and daemons.
 
+pub mod chat;
+pub mod chunk;
+pub mod engine;
+pub mod error;
+pub mod header;
 pub mod peer;
+pub mod sse;
