Add the peer and marks plug-ins

Cause: daemons did not exchange configuration, members, marks or loads; every daemon polled every engine. Change: peer (tonic server and client, rounds, urgent tellings, copies, counted connections), marks (leaving servers to the router, host list on watchers), polling by the reporter daemon only. A data centre counts as cut off only when its daemons are silent and no engine in it that was asked answers.

--- a/crates/control/src/digest.rs
+++ b/crates/control/src/digest.rs
@@ -49,6 +49,17 @@
         /// Requests of the last seconds, as [`crate::load::level`] codes them.
         pub heat: u8,
     }
+
+    /// What a received digest calls for.
+    #[derive(Default)]
+    pub struct Received {
+        /// The peer has a newer configuration, or another one of the same version.
+        pub fetch_config: bool,
+        /// The views have differed for some time.
+        pub fetch_members: bool,
+        /// A mark or the configuration changed: tell others at once.
+        pub urgent: bool,
+    }
 }
 
 jaystand_types::common! { data
@@ -72,17 +83,6 @@
         /// The sender's hot prefix heads.
         pub hot: Vec<Hot>,
     }
-
-    /// What a received digest calls for.
-    #[derive(Eq, Default)]
-    pub struct Received {
-        /// The peer has a newer configuration, or another one of the same version.
-        pub fetch_config: bool,
-        /// The views have differed for some time.
-        pub fetch_members: bool,
-        /// A mark or the configuration changed: tell others at once.
-        pub urgent: bool,
-    }
 }
 
 /// The digest was overtaken by a later one of the same run or is the daemon's own.
--- a/crates/control/src/mark.rs
+++ b/crates/control/src/mark.rs
@@ -110,6 +110,11 @@
             .filter(move |subject| last.replace(*subject) != Some(*subject))
     }
 
+    /// Every mark, cleared ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Mark> {
+        self.held.values().map(|held| &held.mark)
+    }
+
     /// Sets or clears an operator's mark; `true` when that changes it.
     pub fn drain(&mut self, now: Moment, subject: &str, leaving: bool) -> bool {
         let unchanged = self.drained(subject) == leaving;
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Whether the server is leaving, as noted last.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Notes whether the server is leaving. Returns whether that changed.
     pub(crate) fn set_leaving(&self, leaving: bool) -> bool {
         self.leaving.swap(leaving, Ordering::Relaxed) != leaving
--- /dev/null
+++ b/crates/daemon/src/peer/tests.rs
@@ -0,0 +1,266 @@
+//! Daemons that gossip over loopback sockets.
+
+use std::{sync::Arc, time::Duration};
+
+use jaystand_control::digest::{Gossip, MAX_BYTES};
+use jaystand_kernel::{Kernel, plugin::Running};
+use jaystand_sheet::Document;
+use jaystand_wire::peer::raw;
+use prometheus::Registry;
+use proptest::prelude::*;
+use tokio::net::TcpListener;
+use tonic::Code;
+
+use super::{Channels, Counts, Deployment, Peers, copy, own_entry};
+use crate::{
+    config::Store,
+    settings::{Raw, Settings},
+};
+
+/// Backstop for tests that would otherwise hang; no test depends on its length.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Daemon {
+    kernel: Kernel,
+    peers: Arc<Peers>,
+    store: Arc<Store>,
+    _running: Running,
+}
+
+fn settings(name: &str, seeds: &[String]) -> Settings {
+    let mut raw = Raw::default();
+    raw.host.name = name.into();
+    raw.listen.peers = "127.0.0.1:0".into();
+    raw.peers.seeds = seeds.to_vec();
+    raw.peers.key = "shared".into();
+    Settings::try_from(raw).expect("valid settings")
+}
+
+async fn start(settings: Settings) -> Daemon {
+    let kernel = Kernel::new(Registry::new());
+    kernel.provide(Arc::new(settings));
+    let store = Arc::new(Store::default());
+    kernel.provide(Arc::clone(&store));
+    let running = super::start(kernel.clone()).await.expect("it starts");
+    let peers = kernel.require::<Peers>().expect("provided");
+    Daemon {
+        kernel,
+        peers,
+        store,
+        _running: running,
+    }
+}
+
+fn address(daemon: &Daemon) -> std::net::SocketAddr {
+    daemon.peers.shared.gossip.lock().members.own().address
+}
+
+fn document(version: u64) -> Document {
+    let directory = serde_json::json!({
+        "teams": [{"name": "t", "key_hash": "a".repeat(64)}],
+        "servers": [{"name": "e", "address": "127.0.0.1:9", "data_centre": "dc1", "kind": "engine",
+                     "model": "m", "weights_version": "v1", "slots": 8}],
+        "models": [{"name": "m", "weights_version": "v1"}],
+    });
+    Document {
+        version,
+        sheet:
+            "team,request kind,model or service,urgency,repeat rule,backend servers,max in flight,\
+            requests per minute,first token ms,deadline s,expected tokens\n\
+            t,k,m,urgent,repeatable,*,,,,,\n"
+                .to_owned(),
+        directory: serde_json::from_value(directory).expect("a directory"),
+        ..Document::default()
+    }
+}
+
+async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+fn version(daemon: &Daemon) -> u64 {
+    daemon
+        .store
+        .current()
+        .map_or(0, |active| active.document.version)
+}
+
+fn dropped(daemon: &Daemon, reason: &str) -> u64 {
+    daemon
+        .peers
+        .shared
+        .counts
+        .dropped
+        .with_label_values(&[reason])
+        .get()
+}
+
+fn channels(deployment: &str, key: &str) -> Channels {
+    let deployment = Deployment {
+        name: deployment.to_owned(),
+        key: key.into(),
+    };
+    let counts = Counts::new(&Registry::new()).expect("a fresh registry");
+    Channels::new(&deployment, counts).expect("plain names")
+}
+
+/// Guards against configurations, marks and members that do not spread, and against a cold start.
+#[tokio::test]
+async fn daemons_share_configuration_marks_and_members() {
+    let first = start(settings("a", &[])).await;
+    assert!(matches!(
+        first.store.offer(document(1)),
+        crate::config::Offered::Applied
+    ));
+    let seeds = [address(&first).to_string()];
+    let mut others = Vec::new();
+    for name in ["b", "c", "d"] {
+        let daemon = start(settings(name, &seeds)).await;
+        assert_eq!(
+            version(&daemon),
+            1,
+            "it has the configuration when it has started"
+        );
+        others.push(daemon);
+    }
+    eventually("four members", || {
+        first.peers.members().len() == 4 && others.iter().all(|d| d.peers.members().len() == 4)
+    })
+    .await;
+    others[2].store.offer(document(5));
+    eventually("version 5 everywhere", || {
+        version(&first) == 5 && others.iter().all(|daemon| version(daemon) == 5)
+    })
+    .await;
+    first.peers.drain("e", true);
+    eventually("drained everywhere", || {
+        others.iter().all(|d| d.peers.is_drained("e"))
+    })
+    .await;
+    others[0].peers.drain("e", false);
+    eventually("returned everywhere", || {
+        !first.peers.is_leaving("e") && !others[2].peers.is_leaving("e")
+    })
+    .await;
+    let reporters = others
+        .iter()
+        .chain([&first])
+        .filter(|d| d.peers.is_reporter("e"));
+    assert_eq!(reporters.count(), 1);
+    assert!(
+        first.peers.shared.counts.sent.get() > 0 && first.peers.shared.counts.received.get() > 0
+    );
+    first
+        .kernel
+        .lifecycle()
+        .advance(jaystand_kernel::Phase::LameDuck);
+    eventually("the leaving daemon is no watcher", || {
+        !first.peers.is_watcher()
+    })
+    .await;
+}
+
+/// Guards against messages of other deployments, wrong keys and malformed or stale messages that take effect.
+#[tokio::test]
+async fn messages_that_do_not_belong_are_dropped_and_counted() {
+    let daemon = start(settings("a", &[])).await;
+    let peer = address(&daemon);
+    let code = async |channels: &Channels, digest: raw::Digest| {
+        channels
+            .exchange(peer, digest)
+            .await
+            .err()
+            .map(|status| status.code())
+    };
+    let own = own_entry(
+        &settings("b", &[]),
+        "127.0.0.1:9".parse().expect("an address"),
+    );
+    let mut gossip = Gossip::new(jaystand_control::member::Members::new(own, Vec::new()));
+    let good = raw::Digest::from(gossip.digest(Duration::ZERO, None));
+    let malformed = raw::Digest {
+        sender: None,
+        ..good.clone()
+    };
+    let right = channels("default", "shared");
+    assert_eq!(
+        code(&channels("other", "shared"), good.clone()).await,
+        Some(Code::Unauthenticated)
+    );
+    assert_eq!(
+        code(&channels("default", "wrong"), good.clone()).await,
+        Some(Code::Unauthenticated)
+    );
+    assert_eq!(
+        code(&channels("default", ""), good.clone()).await,
+        Some(Code::Unauthenticated)
+    );
+    assert_eq!(daemon.peers.members().len(), 1);
+    assert_eq!(code(&right, malformed).await, Some(Code::InvalidArgument));
+    assert_eq!(
+        code(
+            &right,
+            raw::Digest {
+                round: 100,
+                ..good.clone()
+            }
+        )
+        .await,
+        None
+    );
+    assert_eq!(code(&right, good).await, Some(Code::FailedPrecondition));
+    assert_eq!(daemon.peers.members().len(), 2);
+    let counts = ["foreign", "key", "malformed", "stale"].map(|reason| dropped(&daemon, reason));
+    assert_eq!(counts, [1, 2, 1, 1]);
+}
+
+/// Guards against a call that hangs on a silent connection, and against using that connection again.
+#[tokio::test]
+async fn a_silent_channel_is_retired() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let peer = listener.local_addr().expect("bound");
+    let accepted = tokio::spawn(async move {
+        let mut silent = Vec::new();
+        for _ in 0..2 {
+            silent.push(listener.accept().await.expect("a connection"));
+        }
+        // They stay open while the calls wait.
+        silent
+    });
+    let channels = channels("default", "shared");
+    for _ in 0..2 {
+        let answer = channels.exchange(peer, raw::Digest::default()).await;
+        assert_eq!(answer.expect_err("silence").code(), Code::DeadlineExceeded);
+    }
+    let both = tokio::time::timeout(PATIENCE, accepted).await;
+    both.expect("each call opened a connection of its own")
+        .expect("no panic");
+}
+
+/// Guards against a copy that makes the daemon allocate without bound.
+#[test]
+fn an_oversized_copy_is_refused() {
+    let zeros = vec![b' '; 17 << 20];
+    let copy = copy::deflate(&zeros).expect("it deflates");
+    assert!(copy.len() < 64 * 1024 && MAX_BYTES < copy.len());
+    assert!(matches!(
+        copy::read_document(&copy),
+        Err(copy::Unusable::TooLarge)
+    ));
+}
+
+proptest! {
+    /// Guards against a peer that crashes the daemon with random copies.
+    #[test]
+    fn random_copies_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = copy::read_document(&bytes);
+        let _ = copy::read_table(&bytes);
+    }
+}
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -1,22 +1,26 @@
-//! Load polling: asks each engine for its load every second and notes leaving, return and new incarnations.
+//! Load polling: the reporter daemon of an engine asks it for its load every second and notes leaving, return and
+//! new incarnations; the other daemons hear the load from their peers.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
+use jaystand_control::member::Reach;
 use jaystand_kernel::{
     Kernel, Phase,
     plugin::{Running, Stage, Started},
 };
-use jaystand_policy::{Router, load::Report, router};
+use jaystand_policy::{Event, Router, load::Report, router};
+use jaystand_types::{DataCentre, ServerId};
 use jaystand_wire::engine::{LOAD_PATH, Load};
 
 use crate::{
     backend::Backend,
     config,
-    hub::Hub,
+    hub::{Configured, Hub},
+    peer::Peers,
     settings::{PolicyName, Settings},
 };
 
@@ -24,6 +28,8 @@
 const TIMEOUT: Duration = Duration::from_millis(800);
 /// Polls in flight at once, so that a round over many servers does not open as many connections.
 const CONCURRENCY: usize = 64;
+/// Loads of peers that are older than this say nothing of the present.
+const MAX_AGE: Duration = Duration::from_secs(8);
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 
 jaystand_kernel::register!("backend", Stage::Work, start);
@@ -31,6 +37,7 @@
 async fn start(kernel: Kernel) -> Started {
     let settings = kernel.require::<Settings>()?;
     let store = kernel.require::<config::Store>()?;
+    let peers = kernel.require::<Peers>()?;
     let hub = Arc::new(Hub::new(
         kernel.timer().clone(),
         Router::new(router_settings(&settings), rand::random()),
@@ -44,7 +51,7 @@
         Arc::clone(&hub),
     ));
     tasks.spawn(Arc::clone(&hub).tick());
-    tasks.spawn(poll(kernel.clone(), hub));
+    tasks.spawn(poll(kernel.clone(), hub, peers));
     Ok(Running::until(async move { tasks.shutdown().await }))
 }
 
@@ -77,33 +84,109 @@
     }
 }
 
-async fn poll(kernel: Kernel, hub: Arc<Hub>) {
+async fn poll(kernel: Kernel, hub: Arc<Hub>, peers: Arc<Peers>) {
     let mut ticks = kernel.timer().every(PERIOD);
+    let mut unreachable: HashSet<DataCentre> = HashSet::new();
     while kernel.lifecycle().phase() < Phase::Stopped {
         ticks.tick().await;
         let Some(configured) = hub.configured() else {
             continue;
         };
-        let engines = configured.backends.iter().filter(|it| !it.is_service());
-        stream::iter(engines)
-            .for_each_concurrent(CONCURRENCY, |backend| poll_one(&hub, backend))
+        let engines: Vec<(ServerId, Arc<Backend>)> = (0..)
+            .zip(configured.backends.iter().cloned())
+            .filter(|(_, backend)| !backend.is_service())
+            .collect();
+        let answered: Vec<(DataCentre, bool)> = stream::iter(engines)
+            .map(|(id, backend)| look_at(Arc::clone(&hub), Arc::clone(&peers), id, backend))
+            .buffer_unordered(CONCURRENCY)
+            .filter_map(std::future::ready)
+            .collect()
             .await;
+        note_reach(&hub, &peers, &configured, &answered, &mut unreachable);
     }
 }
 
-async fn poll_one(hub: &Hub, backend: &Arc<Backend>) {
+/// Asks an engine, or takes its load from the peers. Returns whether an engine that was asked has answered.
+async fn look_at(
+    hub: Arc<Hub>,
+    peers: Arc<Peers>,
+    id: ServerId,
+    backend: Arc<Backend>,
+) -> Option<(DataCentre, bool)> {
+    let data_centre = &backend.server.data_centre;
+    // Engines can run on when all daemons beside them are silent, so only asking them shows whether the data
+    // centre is cut off.
+    if peers.is_reporter(&backend.server.name) || peers.reach(data_centre) == Reach::Silent {
+        let answered = poll_one(&hub, &peers, id, &backend).await;
+        return Some((data_centre.clone(), answered));
+    }
+    if let Some((running, age)) = peers.load(id).filter(|(_, age)| *age < MAX_AGE) {
+        let waiting = running.saturating_sub(backend.server.slots.get());
+        let running = running - waiting;
+        hub.load(
+            &backend,
+            Report {
+                running,
+                waiting,
+                age,
+            },
+        );
+    }
+    None
+}
+
+/// Tells the router which data centres are cut off: no daemon of theirs and no engine that was asked answers.
+fn note_reach(
+    hub: &Hub,
+    peers: &Peers,
+    configured: &Configured,
+    answered: &[(DataCentre, bool)],
+    unreachable: &mut HashSet<DataCentre>,
+) {
+    let centres: HashSet<&DataCentre> = configured
+        .backends
+        .iter()
+        .map(|backend| &backend.server.data_centre)
+        .collect();
+    for data_centre in centres {
+        let mut asked = answered.iter().filter(|(centre, _)| centre == data_centre);
+        let reachable = peers.reach(data_centre) != Reach::Silent || asked.any(|(_, ok)| *ok);
+        let changed = if reachable {
+            unreachable.remove(data_centre)
+        } else {
+            unreachable.insert(data_centre.clone())
+        };
+        if changed {
+            log::warn!("data centre {data_centre}: reachable {reachable}");
+            let data_centre = data_centre.clone();
+            hub.tell(Event::Reachable {
+                data_centre,
+                reachable,
+            });
+        }
+    }
+}
+
+async fn poll_one(hub: &Hub, peers: &Peers, id: ServerId, backend: &Arc<Backend>) -> bool {
     let Ok(Some(load)) = tokio::time::timeout(TIMEOUT, fetch(backend)).await else {
-        return;
+        return false;
     };
     backend.saw_weights_version(&load.weights_version);
     backend.saw_incarnation(load.incarnation);
-    hub.set_leaving(backend, load.leaving);
+    let age = Duration::from_millis(load.age_ms);
+    let name = &backend.server.name;
+    peers.saw_engine(name, load.incarnation, load.leaving);
+    peers.report(id, load.running.saturating_add(load.waiting), age);
+    if load.leaving {
+        hub.set_leaving(backend, true);
+    }
     let report = Report {
         running: load.running,
         waiting: load.waiting,
-        age: Duration::from_millis(load.age_ms),
+        age,
     };
     hub.load(backend, report);
+    true
 }
 
 async fn fetch(backend: &Backend) -> Option<Load> {
