--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -5,20 +5,15 @@
 use arc_swap::ArcSwapOption;
 use compact_str::CompactString;
 use jaystand_kernel::{
-    Kernel, Phase,
+    Kernel,
     plugin::{Running, Stage, Started},
 };
-use jaystand_platform::Client;
 use jaystand_sheet::{Document, Faults, Rule, Sheet, Target};
 use jaystand_types::{TeamId, Version};
-use miette::IntoDiagnostic as _;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::{
-    settings::{self, Settings},
-    watch::Watch,
-};
+use crate::settings::Settings;
 
 /// Time that peers and the platform have to answer before the bootstrap file is used.
 const BOOTSTRAP_WAIT: Duration = Duration::from_secs(3);
@@ -173,9 +168,6 @@
     let settings = kernel.require::<Settings>()?;
     let store = Arc::new(Store::default());
     kernel.provide(Arc::clone(&store));
-    if let Some(platform) = &settings.platform {
-        follow_platform(&kernel, platform, &store)?;
-    }
     let Some(path) = settings.bootstrap.clone() else {
         return Ok(Running::detached());
     };
@@ -195,32 +187,6 @@
     Ok(Running::detached())
 }
 
-/// Provides the platform's client and follows the configuration that it holds.
-fn follow_platform(
-    kernel: &Kernel,
-    platform: &settings::Platform,
-    store: &Arc<Store>,
-) -> miette::Result<()> {
-    let settings = jaystand_platform::Settings::new(platform.address, platform.budget_per_s);
-    let client = Client::new(settings, kernel.metrics())?;
-    kernel.provide(Arc::new(client.clone()));
-    let store = Arc::clone(store);
-    let offer = move |document| {
-        if let Offered::Rejected(faults) = store.offer(document) {
-            log::error!("the platform's configuration was rejected: {faults}");
-        }
-    };
-    let watch = Watch::new(client, offer, kernel.metrics()).into_diagnostic()?;
-    let lifecycle = kernel.lifecycle().clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = watch.run() => {}
-            () = lifecycle.reached(Phase::Stopped) => {}
-        }
-    });
-    Ok(())
-}
-
 fn apply_bootstrap(store: &Store, document: Document) -> Result<(), Faults> {
     if store.current().is_some() {
         return Ok(());
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,4 @@
-//! See the crate README.
+//! The router daemon: plug-ins that connect sockets to the decision crates.
 
 pub mod admin;
 mod backend;
@@ -9,9 +9,12 @@
 mod entry;
 mod exchange;
 mod hub;
+mod marks;
 mod memory;
 mod metrics;
 mod once;
+pub mod peer;
+pub mod platform;
 mod poll;
 mod reply;
 mod service;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -67,7 +67,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// Calls a second that this daemon may make.
-    pub budget_per_s: u32,
+    pub budget_per_s: f64,
 }
 
 /// Other daemons.
@@ -325,11 +325,11 @@
         if raw.address.is_empty() {
             return None;
         }
-        if raw.budget_per_s == 0 {
+        if !(raw.budget_per_s.is_finite() && raw.budget_per_s > 0.0) {
             self.fault(
                 "platform.budget_per_s",
-                "0 is too small",
-                "write a whole number from 1",
+                format!("{} is not a rate", raw.budget_per_s),
+                "write a number above 0",
             );
         }
         Some(Platform {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -82,7 +82,7 @@
         /// Address.
         address: String = String::new();
         /// Calls a second that this daemon may make.
-        budget_per_s: u32 = 10;
+        budget_per_s: f64 = 10.0;
     }
     /// Other daemons.
     Peers {
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -36,7 +36,7 @@
             ),
             server("jobs-0", ledger.address(), ServerKind::Service, "jobs"),
         ]);
-        let settings = jaystand_platform::Settings::new(platform.address(), 1000);
+        let settings = jaystand_platform::Settings::new(platform.address(), 1000.0);
         let client = Client::new(settings, &prometheus::Registry::new()).expect("a client");
         let accepted = watch::accept(&client, &document).await;
         assert!(matches!(accepted, Answer::Accepted(_)), "{accepted:?}");
@@ -45,7 +45,7 @@
             let daemon = Daemon::start_with(document.clone(), |raw| {
                 raw.bootstrap.clear();
                 raw.platform.address = platform.address().to_string();
-                raw.platform.budget_per_s = 1000;
+                raw.platform.budget_per_s = 1000.0;
             });
             daemons.push(daemon.await);
         }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -10,8 +10,8 @@
     pub struct Settings {
         /// Where the platform listens.
         pub address: SocketAddr,
-        /// Calls a second that the client may make, retries included; also the burst.
-        pub budget_per_s: u32,
+        /// Calls a second that the client may make, retries included; also the burst, which is at least one call.
+        pub budget_per_s: f64,
         /// Time to open a connection.
         pub connect_timeout: Duration,
         /// Time for the answer to a read or a write once connected.
@@ -30,7 +30,7 @@
 impl Settings {
     /// Settings with the default timeouts.
     #[must_use]
-    pub fn new(address: SocketAddr, budget_per_s: u32) -> Self {
+    pub fn new(address: SocketAddr, budget_per_s: f64) -> Self {
         Self {
             address,
             budget_per_s,
