Tell explicit failures from cut answers in the comparison

Cause: answers that ended with an explicit error were counted as cut, which hides whether a caller can tell.

--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -178,6 +178,13 @@
         self.outcome == "not_run"
     }
 
+    /// Whether the daemon said that there is no whole answer.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        let status = self.status.is_some_and(|status| !status.is_success());
+        (status && self.cut.is_none()) || self.cut == Some(Cut::Explicit)
+    }
+
     async fn read(&mut self, response: Response<Incoming>, call: &Call, began: Instant) {
         let text = |name: &str| {
             let value = response.headers().get(name);
