--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,20 +1,26 @@
-//! See the crate README.
+//! The router daemon: plug-ins that connect sockets to the decision crates.
 
 pub mod admin;
 mod backend;
 mod chat;
+pub mod claim;
 pub mod config;
 mod drive;
 mod entry;
 mod exchange;
 mod hub;
+mod marks;
 mod memory;
 mod metrics;
+pub mod peer;
+pub mod platform;
 mod poll;
 mod reply;
 mod service;
 pub mod settings;
 pub mod stream;
+pub mod trace;
+pub mod watch;
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -18,7 +18,7 @@
         .iter()
         .any(|fault| matches!(fault, Fault::Silent | Fault::SlowBody));
     let within = if silent { SHORT } else { LONG };
-    let mut settings = Settings::new(fake.address, 1000);
+    let mut settings = Settings::new(fake.address, 1000.0);
     settings.connect_timeout = if silent { Duration::from_secs(1) } else { LONG };
     settings.call_timeout = within;
     settings.watch_timeout = if silent { Duration::from_secs(1) } else { LONG };
@@ -197,7 +197,7 @@
 async fn oversized_and_over_budget_calls_are_not_sent() {
     let fake = Fake::start([]).await;
     let registry = Registry::new();
-    let mut settings = Settings::new(fake.address, 1);
+    let mut settings = Settings::new(fake.address, 1.0);
     settings.call_timeout = LONG;
     let client = Client::new(settings, &registry).unwrap();
     let oversized = Bytes::from(vec![0; MAX_VALUE_BYTES + 1]);
@@ -221,7 +221,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let client = Client::new(Settings::new(address, 100), &Registry::new()).unwrap();
+    let client = Client::new(Settings::new(address, 100.0), &Registry::new()).unwrap();
     let result = client.put("kind", "n", Expected::Absent, value()).await;
     assert_eq!(result, Err(Error::Unavailable { retry_after: None }));
 }
