Publish the stand-in deployments' configuration in the stored format

Cause: the stand-ins stored a bare document as config/current, which the daemon's watch refuses because it lacks the manifest's format number. Change: the deployments encode their first configuration with control::config::Encoded.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::{fmt::Write as _, io, net::SocketAddr, num::NonZeroU32, path::Path, time::Duration};
 
 use compact_str::{CompactString, format_compact};
+use jaystand_control::config::{Encoded, MAX_VALUE_BYTES, Object};
 use jaystand_sheet::{Directory, Document, Fencing, Model, Server, ServerKind, Team};
 use jaystand_types::{RepeatRule, Urgency};
 
@@ -221,14 +222,15 @@
     }
 
     /// Stores the first configuration and the host list on the platform.
-    ///
-    /// # Panics
-    /// Panics when the document cannot be rendered, which would be a fault of this crate.
     pub fn publish(&self, entries: &[Entry]) {
-        let document = serde_json::to_vec(&self.document()).expect("a document is plain data");
-        self.platform
-            .standin()
-            .set_object("config", "current", document);
+        let encoded = Encoded::new(&self.document(), MAX_VALUE_BYTES);
+        let platform = self.platform.standin();
+        for (name, part) in encoded.parts {
+            let object = Object::Part(name);
+            platform.set_object(object.kind(), &object.name(), part);
+        }
+        let current = Object::Current;
+        platform.set_object(current.kind(), &current.name(), encoded.value);
         self.publish_hosts(entries);
     }
 
