--- a/crates/control/src/config/codec.rs
+++ b/crates/control/src/config/codec.rs
@@ -56,10 +56,10 @@
     pub(crate) parts: Vec<CompactString>,
 }
 
-/// The part of a manifest that every format has.
+/// The part of a manifest that every format has. A bare document has no format number.
 #[derive(Deserialize)]
 struct Probe {
-    format: u32,
+    format: Option<u32>,
 }
 
 impl Encoded {
@@ -67,13 +67,7 @@
     #[must_use]
     pub fn new(document: &Document, limit: usize) -> Self {
         let head = Head::of(document);
-        let mut manifest = Manifest {
-            format: FORMAT,
-            version: head.version,
-            hash: blake3::Hash::from_bytes(head.hash).to_hex().to_string(),
-            document: Some(document.clone()),
-            parts: Vec::new(),
-        };
+        let mut manifest = Manifest::inline(document.clone());
         let mut value = to_json(&manifest);
         let mut parts = Vec::new();
         if value.len() > limit {
@@ -92,13 +86,29 @@
 }
 
 impl Manifest {
+    /// Parses a manifest. A bare document is accepted too, since deployment tools write the first configuration
+    /// that way; its fields are checked as strictly, but it has no hash.
     pub(crate) fn parse(value: &[u8]) -> Result<Self, Corrupt> {
         let encoding = |error: serde_json::Error| Corrupt::Encoding(error.to_string());
         let probe: Probe = serde_json::from_slice(value).map_err(encoding)?;
-        if probe.format != FORMAT {
-            return Err(Corrupt::Format(probe.format));
+        match probe.format {
+            Some(FORMAT) => serde_json::from_slice(value).map_err(encoding),
+            Some(other) => Err(Corrupt::Format(other)),
+            None => {
+                let document: Document = serde_json::from_slice(value).map_err(encoding)?;
+                Ok(Self::inline(document))
+            }
+        }
+    }
+
+    fn inline(document: Document) -> Self {
+        Self {
+            format: FORMAT,
+            version: document.version,
+            hash: document.hash().to_hex().to_string(),
+            document: Some(document),
+            parts: Vec::new(),
         }
-        serde_json::from_slice(value).map_err(encoding)
     }
 
     /// The document, whose parts are given in order.
--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -147,3 +147,20 @@
         Answer::Refused(Refusal::Version { .. })
     ));
 }
+
+/// Guards against a first configuration, written by a deployment tool, that no daemon reads or can replace.
+#[test]
+fn a_bare_document_is_read_and_replaced() {
+    let mut store = Store::default();
+    let first = document(1, "first");
+    let bare = serde_json::to_vec(&first).unwrap();
+    store
+        .objects
+        .insert("config/current".to_owned(), (1, bare.into()));
+    assert_eq!(store.fetch(), Ok(Some(first)));
+    let second = document(2, "second");
+    assert_eq!(
+        store.accept(&second, 700),
+        Answer::Accepted(Head::of(&second))
+    );
+}
