--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,14 +9,17 @@
 mod entry;
 mod exchange;
 mod hub;
+mod marks;
 mod memory;
 mod metrics;
+pub mod peer;
 pub mod platform;
 mod poll;
 mod reply;
 mod service;
 pub mod settings;
 pub mod stream;
+pub mod trace;
 pub mod watch;
 
 use std::{net::SocketAddr, sync::Arc};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,9 @@
-//! See the crate README.
+//! Messages between callers, engines and daemons.
 
 pub mod chat;
 pub mod chunk;
 pub mod engine;
 pub mod error;
 pub mod header;
+pub mod peer;
 pub mod sse;
