--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -3,13 +3,7 @@
 //! Only chosen daemons hold the platform's watch; the others read the configuration once, at their start, and learn
 //! of changes from their peers.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use jaystand_control::config::{
     Accept, Answer, Corrupt, Fault, Fetch, Input, MAX_VALUE_BYTES, Object, Progress, Step,
@@ -27,6 +21,7 @@
 
 use crate::{
     config::{Offered, Store},
+    peer::Peers,
     platform,
 };
 
@@ -42,38 +37,11 @@
 /// How often a daemon that does not hold the watch looks whether it is chosen.
 const ELECTION_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Whether this daemon is one of those that hold the platform's watch. It is, until the member view says otherwise.
-#[derive(Debug)]
-pub struct Role {
-    elected: AtomicBool,
-}
-
-impl Default for Role {
-    fn default() -> Self {
-        Self {
-            elected: AtomicBool::new(true),
-        }
-    }
-}
-
-impl Role {
-    /// Takes what the member view says.
-    pub fn set_elected(&self, elected: bool) {
-        self.elected.store(elected, Ordering::Relaxed);
-    }
-
-    /// Whether this daemon holds the watch.
-    #[must_use]
-    pub fn elected(&self) -> bool {
-        self.elected.load(Ordering::Relaxed)
-    }
-}
-
 /// Follows the configuration in force and offers each document that it finds.
-pub struct Watch<O> {
+pub struct Watch<O, E> {
     client: Client,
     offer: O,
-    role: Arc<Role>,
+    elected: E,
     reads: IntCounterVec,
 }
 
@@ -90,15 +58,16 @@
     Corrupt(#[from] Corrupt),
 }
 
-impl<O: Fn(Document)> Watch<O> {
-    /// A watch that gives every document it reads to `offer`, which decides whether it is newer.
+impl<O: Fn(Document), E: Fn() -> bool> Watch<O, E> {
+    /// A watch that gives every document it reads to `offer`, which decides whether it is newer. `elected` says
+    /// whether this daemon is one of those that hold the platform's watch.
     ///
     /// # Errors
     /// Fails when `metrics` already has this plug-in's counters.
     pub fn new(
         client: Client,
         offer: O,
-        role: Arc<Role>,
+        elected: E,
         metrics: &Registry,
     ) -> Result<Self, prometheus::Error> {
         let options = Opts::new(
@@ -110,7 +79,7 @@
         Ok(Self {
             client,
             offer,
-            role,
+            elected,
             reads,
         })
     }
@@ -125,7 +94,7 @@
                 tokio::time::sleep(backoff.delay(error.retry_after())).await;
                 continue;
             }
-            while !self.role.elected() {
+            while !(self.elected)() {
                 tokio::time::sleep(ELECTION_INTERVAL).await;
             }
         }
@@ -136,7 +105,7 @@
         // The revision is taken before the read, so that no change falls between read and watch.
         let mut revision: Revision = self.client.list(Object::Current.kind()).await?.revision;
         self.refresh().await?;
-        while self.role.elected() {
+        while (self.elected)() {
             let changes = self.client.watch(Object::Current.kind(), revision).await?;
             backoff.reset();
             let current = Object::Current.name();
@@ -230,8 +199,8 @@
     let Some(client) = platform::client(&kernel)? else {
         return Ok(Running::detached());
     };
-    let role = kernel.require::<Role>().unwrap_or_default();
-    kernel.provide(Arc::clone(&role));
+    let peers = kernel.require::<Peers>()?;
+    let elected = move || peers.is_watcher();
     let store = kernel.require::<Store>()?;
     let forks = IntCounter::new(
         "jaystand_config_forks_total",
@@ -243,7 +212,7 @@
         .register(Box::new(forks.clone()))
         .into_diagnostic()?;
     let offer = move |document| offer(&store, &forks, document);
-    let watch = Watch::new(client.as_ref().clone(), offer, role, kernel.metrics());
+    let watch = Watch::new(client.as_ref().clone(), offer, elected, kernel.metrics());
     let task = tokio::spawn(watch.into_diagnostic()?.run());
     Ok(Running::until(async move { task.abort() }))
 }
--- a/crates/daemon/tests/watch.rs
+++ b/crates/daemon/tests/watch.rs
@@ -1,6 +1,6 @@
 //! The configuration watch and acceptance against the platform stand-in.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use jaystand_control::config::{Answer, Head, Object, Refusal};
 use jaystand_daemon::watch::{Watch, accept, read};
@@ -51,7 +51,7 @@
         let _ = offered.send(document);
     };
     let registry = Registry::new();
-    let watch = Watch::new(client.clone(), offer, Arc::default(), &registry).unwrap();
+    let watch = Watch::new(client.clone(), offer, || true, &registry).unwrap();
     let task = tokio::spawn(watch.run());
     let mut next = async || {
         tokio::time::timeout(PATIENCE, offers.recv())
--- a/crates/standin/src/bench/mod.rs
+++ b/crates/standin/src/bench/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod drain;
 pub(crate) mod faults;
 pub(crate) mod measure;
+#[allow(dead_code, reason = "until the command line offers it")]
+pub(crate) mod orders;
 pub(crate) mod overhead;
 pub(crate) mod plot;
 pub(crate) mod process;
--- /dev/null
+++ b/crates/standin/src/bench/orders.rs
@@ -0,0 +1,298 @@
+//! `orders`: orders that must run once, each sent twice through different daemons while daemons are killed and
+//! platform answers are lost, judged by the ledgers' own records.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    io,
+    sync::Arc,
+    time::Duration,
+};
+
+use clap::Args;
+use jaystand_standin::{
+    caller::{Answer, Call},
+    fleet::Deployment,
+    ledger, platform,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use serde_json::json;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{cluster::Cluster, run};
+
+const KIND_ORDER: usize = 4;
+/// The second sending of an order follows the first by up to this time.
+const SPREAD: Duration = Duration::from_millis(400);
+/// Time between kills, after the killed daemon is ready again.
+const KILL: Duration = Duration::from_millis(1500);
+/// Time between changes of the platform's and the ledgers' faults.
+const CHANGE: Duration = Duration::from_millis(300);
+const EXAMPLES: usize = 5;
+
+/// Sends orders twice under kills and lost answers.
+#[derive(Debug, Args)]
+pub(crate) struct Options {
+    /// Orders; each is sent twice.
+    #[arg(long, default_value_t = 2000)]
+    orders: u32,
+    /// Seed of the orders and faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Orders a second.
+    #[arg(long, default_value_t = 50.0)]
+    rate: f64,
+}
+
+/// One sending and what came back.
+struct Sent {
+    order: u32,
+    answer: Answer,
+}
+
+#[derive(Debug, Default)]
+struct Verdict {
+    executed: usize,
+    done: usize,
+    not_run: usize,
+    unknown: usize,
+    cut: usize,
+    executed_twice: usize,
+    wrongly_not_run: usize,
+    done_without_execution: usize,
+    differing_answers: usize,
+    examples: Vec<String>,
+}
+
+/// Runs the bench; whether every order ran at most once and every `not_run` was true.
+pub async fn run(options: Options) -> io::Result<bool> {
+    let cluster = Cluster::start(
+        Deployment::cumbre(),
+        run::DAEMONS,
+        "jaystand",
+        options.seed,
+        |_, _| {},
+    );
+    let cluster = Arc::new(cluster.await?);
+    let faults = tokio::spawn(change(Arc::clone(&cluster), options.seed));
+    let kills = tokio::spawn(kill(Arc::clone(&cluster), options.seed));
+    let began = Instant::now();
+    let sent = send_all(&cluster, &options).await;
+    let took = began.elapsed();
+    for task in [faults, kills] {
+        task.abort();
+        if let Ok(ended) = task.await {
+            ended?;
+        }
+    }
+    let verdict = judge(&cluster, &sent);
+    verdict.print(options.orders, took);
+    for (call, count) in cluster.fleet.platform.standin().calls() {
+        println!("platform calls: {call:?} {count}");
+    }
+    if let Ok(cluster) = Arc::try_unwrap(cluster) {
+        cluster.end().await;
+    }
+    // A run in which hardly an order is executed shows nothing.
+    let tested = verdict.executed * 2 > options.orders as usize;
+    Ok(tested && verdict.faults() == 0)
+}
+
+async fn send_all(cluster: &Arc<Cluster>, options: &Options) -> Vec<Sent> {
+    let mut random = Pcg64::seed_from_u64(options.seed);
+    let mut calls = JoinSet::new();
+    let gap = Duration::from_secs_f64(1.0 / options.rate.max(1.0));
+    let mut due = Instant::now();
+    for order in 0..options.orders {
+        due += gap;
+        sleep_until(due).await;
+        let first = random.random_range(0..run::DAEMONS);
+        let second = (first + random.random_range(1..run::DAEMONS)) % run::DAEMONS;
+        let delay = SPREAD.mul_f64(random.random_range(0.0..1.0));
+        let call = call(&cluster.fleet.deployment, options.seed, order);
+        for (daemon, delay) in [(first, Duration::ZERO), (second, delay)] {
+            let caller = cluster.balancer.caller().clone();
+            let to = cluster.entries[daemon].callers;
+            let call = call.clone();
+            calls.spawn(async move {
+                sleep(delay).await;
+                let answer = caller.send(to, &call).await;
+                Sent { order, answer }
+            });
+        }
+    }
+    calls.join_all().await
+}
+
+fn key(seed: u64, order: u32) -> String {
+    format!("order-{seed}-{order}")
+}
+
+fn call(deployment: &Deployment, seed: u64, order: u32) -> Call {
+    let team = usize::try_from(order % 8).unwrap_or(0);
+    let body = json!({"order": order}).to_string();
+    let kind = deployment.kinds[KIND_ORDER].name;
+    Call::service(
+        Deployment::team_key(team),
+        kind,
+        Some(key(seed, order)),
+        body,
+    )
+}
+
+/// Kills one daemon after the other and starts it again.
+async fn kill(cluster: Arc<Cluster>, seed: u64) -> io::Result<()> {
+    let mut random = Pcg64::seed_from_u64(seed + 1);
+    loop {
+        sleep(KILL).await;
+        let daemon = random.random_range(0..run::DAEMONS);
+        cluster.kill(daemon).await;
+        cluster.restart(daemon).await?;
+        cluster.wait_ready(daemon).await?;
+    }
+}
+
+/// Changes the faults of platform and ledgers until aborted.
+async fn change(cluster: Arc<Cluster>, seed: u64) -> io::Result<()> {
+    let mut random = Pcg64::seed_from_u64(seed + 2);
+    loop {
+        cluster.fleet.platform.set_faults(platform::Faults {
+            lost_before: random.random_range(0.0..0.1),
+            lost_after: random.random_range(0.0..0.1),
+            delayed_write_ms: random.random_range(0..30),
+            outage: random.random_ratio(1, 20),
+            ..platform::Faults::default()
+        });
+        for ledger in &cluster.fleet.ledgers {
+            let choice = random.random_range(0..20);
+            ledger.set_faults(ledger::Faults {
+                refuse: choice == 0,
+                drop_after_execution: choice == 1,
+                slow_ms: if choice == 2 { 200 } else { 0 },
+                ..ledger::Faults::default()
+            });
+        }
+        sleep(CHANGE).await;
+    }
+}
+
+fn judge(cluster: &Cluster, sent: &[Sent]) -> Verdict {
+    let mut executions: HashMap<String, u32> = HashMap::new();
+    let mut requests: HashSet<String> = HashSet::new();
+    for ledger in &cluster.fleet.ledgers {
+        for (key, count) in ledger.standin().executions() {
+            *executions.entry(key).or_default() += count;
+        }
+        let executed = ledger
+            .records()
+            .into_iter()
+            .filter(|record| record.executed);
+        requests.extend(executed.map(|record| record.request));
+    }
+    let mut verdict = Verdict {
+        executed: executions.len(),
+        ..Verdict::default()
+    };
+    for (key, count) in executions.iter().filter(|(_, count)| **count > 1) {
+        verdict.executed_twice += 1;
+        verdict.example(format!("{key} was executed {count} times"));
+    }
+    let ordered: HashSet<u32> = executions
+        .keys()
+        .filter_map(|key| key.rsplit('-').next()?.parse().ok())
+        .collect();
+    let mut by_order: BTreeMap<u32, Vec<&Answer>> = BTreeMap::new();
+    for sent in sent {
+        by_order.entry(sent.order).or_default().push(&sent.answer);
+    }
+    for (order, answers) in by_order {
+        verdict.order(order, &answers, ordered.contains(&order), &requests);
+    }
+    verdict
+}
+
+impl Verdict {
+    fn order(
+        &mut self,
+        order: u32,
+        answers: &[&Answer],
+        executed: bool,
+        requests: &HashSet<String>,
+    ) {
+        for answer in answers {
+            if answer.complete() {
+                self.done += 1;
+            } else if answer.not_run() {
+                self.not_run += 1;
+            } else if answer.status.is_some() {
+                self.unknown += 1;
+            } else {
+                self.cut += 1;
+            }
+            // The first sending may have run while the second was refused, so the request counts, not the order.
+            if answer.not_run() && requests.contains(&answer.request_id) {
+                self.wrongly_not_run += 1;
+                self.example(format!(
+                    "order {order} was told not_run, but {} ran",
+                    answer.request_id
+                ));
+            }
+            if answer.complete() && !executed {
+                self.done_without_execution += 1;
+                self.example(format!("order {order} is done, but was not executed"));
+            }
+        }
+        if executed && answers.iter().all(|answer| answer.not_run()) {
+            self.wrongly_not_run += 1;
+            self.example(format!(
+                "order {order} ran, but every sending was told not_run"
+            ));
+        }
+        let mut texts = answers
+            .iter()
+            .filter(|answer| answer.complete())
+            .map(|answer| &answer.text);
+        if let (Some(one), Some(other)) = (texts.next(), texts.next())
+            && one != other
+        {
+            self.differing_answers += 1;
+            self.example(format!("order {order} was answered {one} and {other}"));
+        }
+    }
+
+    fn example(&mut self, text: String) {
+        if self.examples.len() < EXAMPLES {
+            self.examples.push(text);
+        }
+    }
+
+    fn faults(&self) -> usize {
+        self.executed_twice
+            + self.wrongly_not_run
+            + self.done_without_execution
+            + self.differing_answers
+    }
+
+    fn print(&self, orders: u32, took: Duration) {
+        println!("{orders} orders sent twice in {:.1} s", took.as_secs_f64());
+        println!(
+            "{} executed; callers were told done {}, not_run {}, unknown {}; {} connections cut",
+            self.executed, self.done, self.not_run, self.unknown, self.cut
+        );
+        let counts = [
+            ("executed twice", self.executed_twice),
+            ("wrongly not_run", self.wrongly_not_run),
+            ("done without execution", self.done_without_execution),
+            ("differing answers", self.differing_answers),
+        ];
+        for (name, count) in counts {
+            println!("{name:<24} {count}");
+        }
+        for example in &self.examples {
+            println!("example: {example}");
+        }
+    }
+}
