Answer repeats of running requests as unknown during an outage

Cause: a repeat that could not read its shard was told `not_run` even when this daemon had dispatched the first request under the key. The statement was true of the repeat, but invites a caller to order anew.

Change: the group knows which of its requests were dispatched and answers a repeat that ends without a read, or at its deadline, with `unknown`.

A new test fails without the change.

Conclusion: `not_run` for a repeat now only says that this daemon has no knowledge of a run.

--- a/crates/control/src/claim/group.rs
+++ b/crates/control/src/claim/group.rs
@@ -126,6 +126,7 @@
     /// Gives up an attempt that has no verdict yet, because of its deadline or a shutdown. Returns its verdict, or
     /// nothing when it already had one.
     pub fn abandon(&mut self, now: Seconds, ticket: Ticket, reason: Reason) -> Option<Verdict> {
+        let running = self.running();
         let member = self
             .members
             .iter_mut()
@@ -139,7 +140,11 @@
                 None => Want::Nothing,
             };
         }
-        Some(Verdict::NotRun(reason))
+        Some(if running.contains(&member.machine.key()) {
+            Verdict::Unknown(Reason::InProgress)
+        } else {
+            Verdict::NotRun(reason)
+        })
     }
 
     /// Whether no attempt is claiming, finishing or being cleared up. Dispatched requests do not count.
@@ -199,9 +204,14 @@
                 });
             }
             Err(fault) => {
+                let running = self.running();
                 for member in &mut self.members {
                     if member.want == Want::Read {
-                        let step = member.machine.handle(wall, Input::Read(Err(fault)));
+                        let mut step = member.machine.handle(wall, Input::Read(Err(fault)));
+                        let runs = running.contains(&member.machine.key());
+                        if runs && matches!(step, Step::NotRun(_)) {
+                            step = Step::Unknown(Reason::InProgress);
+                        }
                         member.follow(step, now, verdicts);
                     }
                 }
@@ -234,6 +244,16 @@
         }
     }
 
+    /// Keys of requests that this group has dispatched and whose end is not yet recorded. A repeat that cannot read
+    /// the shard is `unknown` then, not `not_run`.
+    fn running(&self) -> BTreeSet<Key> {
+        let dispatched = self
+            .members
+            .iter()
+            .filter(|member| member.machine.was_dispatched());
+        dispatched.map(|member| member.machine.key()).collect()
+    }
+
     fn elapse(&mut self, now: Moment, wall: Seconds) {
         for member in &mut self.members {
             if matches!(member.want, Want::Elapse(at) if at <= now) {
--- a/crates/control/src/claim/machine.rs
+++ b/crates/control/src/claim/machine.rs
@@ -148,6 +148,13 @@
         self.key
     }
 
+    /// Whether the request was dispatched and its answer is not yet recorded.
+    #[must_use]
+    pub fn was_dispatched(&self) -> bool {
+        let ended = matches!(self.goal, Goal::Finish(_));
+        self.phase == Phase::Dispatched || (ended && self.phase != Phase::Settled)
+    }
+
     /// Whether the next read can only lead to a write if the shard is as given. A read from memory is enough then,
     /// since the conditional update checks it.
     #[must_use]
--- a/crates/control/tests/claim.rs
+++ b/crates/control/tests/claim.rs
@@ -175,6 +175,33 @@
     }
 }
 
+/// Guards against telling a repeat `not_run` while this daemon runs the first request and the platform is down.
+#[test]
+fn a_repeat_of_a_running_request_is_unknown_during_an_outage() {
+    let mut store = Store::default();
+    assert_eq!(store.claim(0, "a", b"body").1, Verdict::Dispatch);
+    let (key, body) = (Key::new("team", "a"), BodyHash::new(b"body"));
+    let mut verdicts = Vec::new();
+    store.group.acquire(key, body, 7);
+    assert_eq!(
+        store.group.next(Duration::ZERO, 0, &mut verdicts),
+        Action::Read
+    );
+    store
+        .group
+        .read(Duration::ZERO, 0, Err(Fault::Unavailable), &mut verdicts);
+    let in_progress = Verdict::Unknown(Reason::InProgress);
+    assert_eq!(
+        verdicts.pop().map(|(_, verdict)| verdict),
+        Some(in_progress.clone())
+    );
+    let late = store.group.acquire(key, body, 8);
+    assert_eq!(
+        store.group.abandon(0, late, Reason::Deadline),
+        Some(in_progress)
+    );
+}
+
 proptest! {
     /// Guards against a shard that does not survive its encoding, or that is read although it is damaged.
     #[test]
