--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -15,13 +15,15 @@
 use jaystand_policy::Chain;
 use jaystand_sheet::Rule;
 use jaystand_types::{
-    Moment, Outcome, RequestId, TeamId, Urgency, parse_request_id, render_request_id,
+    Moment, Outcome, RepeatRule, RequestId, TeamId, Urgency, parse_request_id, render_request_id,
 };
 use jaystand_wire::header;
+use tokio_util::task::TaskTracker;
 use tracing::Instrument;
 
 use crate::{
     chat,
+    claim::Claims,
     hub::{Configured, Handle, Hub, NotSubmitted},
     memory::Memory,
     metrics::Metrics,
@@ -42,11 +44,16 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) memory: Memory,
     pub(crate) lifecycle: Lifecycle,
+    /// Absent when the daemon runs without a platform.
+    pub(crate) claims: Option<Arc<Claims>>,
+    /// Work that goes on when its caller has gone away.
+    pub(crate) background: TaskTracker,
 }
 
 /// A request whose caller is known.
 pub(crate) struct Call {
     pub(crate) id: RequestId,
+    pub(crate) arrived: Moment,
     pub(crate) team: TeamId,
     pub(crate) configured: Arc<Configured>,
     pub(crate) head: hyper::http::request::Parts,
@@ -121,10 +128,12 @@
         if let Target::Request(id) = target {
             return self.recall(id, &team);
         }
+        let arrived = self.hub.now();
         let (head, body) = request.into_parts();
         let body = self.read(body).await?;
         let call = Call {
             id,
+            arrived,
             team,
             configured,
             head,
@@ -179,8 +188,7 @@
     ) -> Result<Submitted, Problem> {
         loop {
             let rule = find(&call.configured)?;
-            let now = self.hub.now();
-            let deadline = now + rule.limits.deadline;
+            let deadline = call.arrived + rule.limits.deadline;
             let request = jaystand_policy::Request {
                 id: call.id,
                 team: call.team.clone(),
@@ -238,6 +246,19 @@
     pub(crate) tally: Tally,
 }
 
+impl Submitted {
+    /// Fails when the configuration has changed the repeat rule since the request was claimed or found to need no
+    /// claim. Nothing has been sent yet.
+    pub(crate) fn check_repeat(self, checked: RepeatRule) -> Result<Self, Problem> {
+        if self.rule.repeat == checked {
+            return Ok(self);
+        }
+        self.tally.end(Outcome::NotRun);
+        let message = "the routing sheet has changed; send the request again";
+        Err(Problem::unavailable("rule_changed", message, RETRY_AFTER))
+    }
+}
+
 /// What placement and admission need to know of a request's content.
 #[derive(Default)]
 pub(crate) struct Shape {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -241,7 +241,14 @@
                         retry_after: head.retry_after,
                     })
                 }
-                StatusCode::CONFLICT => Some(Failure::Mismatch),
+                StatusCode::CONFLICT => {
+                    // The next attempt here must name what the engine is now.
+                    self.backend.saw_incarnation(head.incarnation);
+                    let version = head.weights_version.as_deref();
+                    self.backend
+                        .saw_weights_version(version.unwrap_or_default());
+                    Some(Failure::Mismatch)
+                }
                 // The engine serves another model by now; another server may not.
                 StatusCode::NOT_FOUND => Some(Failure::Refused {
                     retry_after: head.retry_after,
