--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -24,6 +24,7 @@
     time::Instant,
 };
 
+use crate::platform;
 pub use store::Store;
 use worker::{Command, Worker};
 
@@ -208,8 +209,8 @@
 }
 
 async fn start(kernel: Kernel) -> Started {
-    let client = kernel.require::<jaystand_platform::Client>()?;
-    let claims = Claims::start(client.as_ref(), kernel.timer().clone(), kernel.metrics());
+    let store = platform::client(&kernel)?.map(|client| client.as_ref().clone());
+    let claims = Claims::start(&store, kernel.timer().clone(), kernel.metrics());
     let claims = Arc::new(claims.into_diagnostic()?);
     kernel.provide(Arc::clone(&claims));
     Ok(Running::until(async move { claims.drain().await }))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,11 +13,14 @@
 mod memory;
 mod metrics;
 pub mod peer;
+pub mod platform;
 mod poll;
 mod reply;
 mod service;
 pub mod settings;
 pub mod stream;
+pub mod trace;
+pub mod watch;
 
 use std::{net::SocketAddr, sync::Arc};
 
