Add the order plug-in and the lease in the platform's object

Cause: engines were not brought to the weights that the directory names. Change: the order plug-in runs control::order under control::lease (object lease/engines), reads engine state and sends orders on connections of their own with the lease checked after connecting; wire::order has the JSON bodies; [orders] max_loading in the settings (2 by default, the deployment's figure in the test fleet); the peer plug-in elects the daemons that hold the platform's watch. One lease covers all models, since max_loading counts over all. The release took 3.5 s while the wait for it did not see that the last order had ended. Conclusion: engines follow the directory within the bounds; the wait is now cut short.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod marks;
 mod memory;
 mod metrics;
+mod order;
 pub mod peer;
 pub mod platform;
 mod poll;
--- a/crates/daemon/src/marks.rs
+++ b/crates/daemon/src/marks.rs
@@ -9,7 +9,7 @@
 };
 use jaystand_platform::Client;
 
-use crate::{backend::Backend, hub::Hub, peer::Peers};
+use crate::{backend::Backend, hub::Hub, peer::Peers, platform};
 
 /// Time between two looks at the view; a leaving server must get no new work after 3 s.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -24,7 +24,7 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(follow(kernel.clone(), hub, Arc::clone(&peers)));
     // Without a platform there is no host list.
-    if let Ok(client) = kernel.require::<Client>() {
+    if let Some(client) = platform::client(&kernel)? {
         tasks.spawn(read_hosts(kernel, client, peers));
     }
     Ok(Running::until(async move { tasks.shutdown().await }))
--- /dev/null
+++ b/crates/daemon/src/order.rs
@@ -0,0 +1,223 @@
+//! The `order` plug-in: brings engines to what the directory wants, while this daemon holds the lease for orders.
+//!
+//! One lease covers the engines of all models of a deployment, because the bound on engines that load at once
+//! counts over all models.
+
+mod engine;
+mod lease;
+
+use std::{sync::Arc, time::Duration};
+
+use jaystand_control::{
+    lease::{Machine, Settings as LeaseSettings},
+    order::{Action, Reconciler, Role, Settings as Bounds, Share, Wanted},
+};
+use jaystand_kernel::{
+    Kernel, Phase,
+    plugin::{Running, Stage, Started},
+    timer::Timer,
+};
+use jaystand_sheet::{Directory, Fencing, ServerKind};
+use jaystand_types::Moment;
+use miette::IntoDiagnostic;
+use parking_lot::Mutex;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use tokio::task::JoinSet;
+
+use crate::{
+    config::{Active, Store},
+    peer::Peers,
+    platform,
+    settings::Settings,
+};
+
+/// Name of the lease.
+const LEASE: &str = "engines";
+/// Time between two steps of the reconciler; short against a load of a third of a second.
+const STEP: Duration = Duration::from_millis(100);
+/// Time that a stopping daemon has to see its last order through and to release the lease.
+const RELEASE_WAIT: Duration = Duration::from_secs(8);
+
+jaystand_kernel::register!("order", Stage::Work, start);
+
+struct Orders {
+    timer: Timer,
+    settings: LeaseSettings,
+    machine: Mutex<Machine>,
+    reconciler: Mutex<Reconciler>,
+    /// The configuration that the reconciler works towards.
+    active: Mutex<Option<Arc<Active>>>,
+    counts: Counts,
+}
+
+struct Counts {
+    orders: IntCounterVec,
+    held: IntGauge,
+    blocked: IntGauge,
+}
+
+impl Counts {
+    fn new(metrics: &Registry) -> Result<Self, prometheus::Error> {
+        let options = Opts::new("jaystand_orders_total", "Engine orders by result.");
+        let counts = Self {
+            orders: IntCounterVec::new(options, &["result"])?,
+            held: IntGauge::new(
+                "jaystand_order_lease_held",
+                "Whether this daemon gives orders.",
+            )?,
+            blocked: IntGauge::new(
+                "jaystand_order_blocked_models",
+                "Models whose serving share forbids an order that is needed.",
+            )?,
+        };
+        metrics.register(Box::new(counts.orders.clone()))?;
+        metrics.register(Box::new(counts.held.clone()))?;
+        metrics.register(Box::new(counts.blocked.clone()))?;
+        Ok(counts)
+    }
+}
+
+async fn start(kernel: Kernel) -> Started {
+    let settings = kernel.require::<Settings>()?;
+    let store = kernel.require::<Store>()?;
+    let peers = kernel.require::<Peers>()?;
+    // Without a platform there is no lease, and without a lease no order.
+    let Some(client) = platform::client(&kernel)? else {
+        return Ok(Running::detached());
+    };
+    let lease = LeaseSettings::default();
+    let bounds = Bounds {
+        max_loading: settings.orders.max_loading,
+        max_delay: lease.max_delay,
+    };
+    let orders = Arc::new(Orders {
+        timer: kernel.timer().clone(),
+        settings: lease,
+        machine: Mutex::new(Machine::new(
+            settings.host.name.clone(),
+            rand::random(),
+            lease,
+        )),
+        reconciler: Mutex::new(Reconciler::new(bounds)),
+        active: Mutex::default(),
+        counts: Counts::new(kernel.metrics()).into_diagnostic()?,
+    });
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow_configuration(store, Arc::clone(&orders)));
+    tasks.spawn(reconcile(Arc::clone(&orders)));
+    tasks.spawn(lease::keep(
+        client,
+        Arc::clone(&orders),
+        want(kernel, peers),
+    ));
+    Ok(Running::until(async move {
+        let released = async {
+            while orders.machine.lock().grant(orders.timer.now()).is_some() {
+                orders.timer.at(orders.timer.now() + STEP).tick().await;
+            }
+        };
+        let _ = tokio::time::timeout(RELEASE_WAIT, released).await;
+        tasks.shutdown().await;
+    }))
+}
+
+/// Whether this daemon should hold the lease.
+fn want(kernel: Kernel, peers: Arc<Peers>) -> impl Fn() -> bool {
+    move || kernel.lifecycle().phase() < Phase::LameDuck && peers.is_holder(LEASE)
+}
+
+async fn follow_configuration(store: Arc<Store>, orders: Arc<Orders>) {
+    let mut changes = store.subscribe();
+    loop {
+        let active = changes.borrow_and_update().clone();
+        if let Some(active) = active {
+            let (wanted, shares) = wanted(&active.document.directory);
+            *orders.active.lock() = Some(active);
+            orders.reconciler.lock().configure(wanted, shares);
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn wanted(directory: &Directory) -> (Vec<Wanted>, Vec<Share>) {
+    let engines = directory
+        .servers
+        .iter()
+        .filter(|server| server.kind == ServerKind::Engine);
+    let wanted = engines.map(|server| Wanted {
+        name: server.name.clone(),
+        model: server.model.clone(),
+        // The directory has no adapters and no roles yet.
+        adapter: "".into(),
+        weights_version: server.weights_version.clone(),
+        role: Role::Serve,
+        fenced: server.fencing == Fencing::Checked,
+    });
+    let shares = directory.models.iter().map(|model| Share {
+        model: model.name.clone(),
+        percent: model.serving_share,
+    });
+    (wanted.collect(), shares.collect())
+}
+
+async fn reconcile(orders: Arc<Orders>) {
+    let mut ticks = orders.timer.every(STEP);
+    loop {
+        let now = ticks.tick().await;
+        let grant = orders.machine.lock().grant(now);
+        let actions = {
+            let mut reconciler = orders.reconciler.lock();
+            let actions = reconciler.step(now, grant);
+            let blocked = i64::try_from(reconciler.blocked().len()).unwrap_or(i64::MAX);
+            orders.counts.blocked.set(blocked);
+            actions
+        };
+        orders.counts.held.set(grant.is_some().into());
+        for action in actions {
+            tokio::spawn(carry_out(Arc::clone(&orders), action));
+        }
+    }
+}
+
+async fn carry_out(orders: Arc<Orders>, action: Action) {
+    match action {
+        Action::Read(server) => {
+            let state = match orders.address(&server) {
+                Some(address) => engine::read(address).await,
+                None => None,
+            };
+            let now = orders.timer.now();
+            orders.reconciler.lock().observe(now, &server, state);
+        }
+        Action::Send(command) => {
+            let answer = engine::send(&orders, &command).await;
+            log::info!(
+                "order to {}: {:?} (fence {}): {answer:?}",
+                command.server,
+                command.order,
+                command.fence
+            );
+            let label = format!("{answer:?}").to_lowercase();
+            orders.counts.orders.with_label_values(&[label]).inc();
+            orders.reconciler.lock().answered(&command.server, answer);
+        }
+    }
+}
+
+impl Orders {
+    fn address(&self, server: &str) -> Option<std::net::SocketAddr> {
+        let active = self.active.lock().clone()?;
+        let mut servers = active.document.directory.servers.iter();
+        let entry = servers.find(|entry| entry.name == server)?;
+        Some(entry.address)
+    }
+
+    /// Whether an order with this fencing number may be sent now.
+    fn may_send(&self, fence: u64, before: Moment) -> bool {
+        let now = self.timer.now();
+        let grant = self.machine.lock().grant(now);
+        now < before && grant.is_some_and(|grant| grant.fence == fence)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/order/lease.rs
@@ -0,0 +1,87 @@
+//! Keeps the lease in its platform object.
+
+use std::{sync::Arc, time::Duration};
+
+use jaystand_control::lease::{Fault, Input, Record, Step};
+use jaystand_platform::{Client, Error};
+use jaystand_types::Version;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::{LEASE, Orders};
+
+/// Object kind of leases.
+const KIND: &str = "lease";
+/// Whether the lease is wanted is looked at this often.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Runs the lease's state machine for ever.
+pub(super) async fn keep(client: Arc<Client>, orders: Arc<Orders>, want: impl Fn() -> bool) {
+    let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
+    // A holder keeps the lease until its last order has had its effect.
+    let wanted = || want() || orders.reconciler.lock().in_flight();
+    let mut input = Input::Elapsed;
+    loop {
+        let step = {
+            let wanted = wanted();
+            let mut machine = orders.machine.lock();
+            machine.want(wanted);
+            machine.handle(orders.timer.now(), input, &mut rng)
+        };
+        input = match step {
+            Step::Read => Input::Read(read(&client).await),
+            Step::Write { expected, record } => {
+                Input::Wrote(write(&client, expected, &record).await)
+            }
+            Step::Wait(time) => {
+                wait(&orders, time, &wanted).await;
+                Input::Elapsed
+            }
+        };
+    }
+}
+
+/// Waits for `time`, less when the wish to hold the lease changes.
+async fn wait(orders: &Orders, time: Duration, want: &impl Fn() -> bool) {
+    let wanted = want();
+    let until = orders.timer.now() + time;
+    while orders.timer.now() < until && want() == wanted {
+        let next = until.min(orders.timer.now() + LOOK);
+        orders.timer.at(next).tick().await;
+    }
+}
+
+async fn read(client: &Client) -> Result<Option<(Version, Record)>, Fault> {
+    let found = client
+        .get(KIND, LEASE)
+        .await
+        .map_err(|_| Fault::Unavailable)?;
+    let Some(object) = found else {
+        return Ok(None);
+    };
+    match serde_json::from_slice(&object.value) {
+        Ok(record) => Ok(Some((object.version, record))),
+        Err(error) => {
+            log::error!("object {KIND}/{LEASE} cannot be used, no orders are given: {error}");
+            Err(Fault::Unavailable)
+        }
+    }
+}
+
+async fn write(
+    client: &Client,
+    expected: Option<Version>,
+    record: &Record,
+) -> Result<Version, Fault> {
+    let value = serde_json::to_vec(record).map_err(|_| Fault::Unavailable)?;
+    let written = client.put(KIND, LEASE, expected.into(), value.into()).await;
+    written.map_err(|error| match error {
+        Error::Conflict => Fault::Conflict,
+        Error::Lost => Fault::Lost,
+        Error::Unavailable { .. }
+        | Error::TooLarge
+        | Error::Denied
+        | Error::Malformed
+        | Error::Budget => Fault::Unavailable,
+    })
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -36,11 +36,11 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     net::TcpListener,
-    sync::{Notify, watch},
+    sync::{Notify, watch::Sender},
     task::JoinSet,
 };
 
-use crate::{config, settings::Settings};
+use crate::{config, settings::Settings, watch};
 use client::Channels;
 
 /// Time that the seeds have to answer a starting daemon before it goes on without them.
@@ -73,10 +73,12 @@
     /// A configuration is being fetched; several peers may name the same new version.
     fetching: AtomicBool,
     counts: Counts,
+    /// Whether this daemon holds the platform's watch, for the plug-in that does so.
+    role: Arc<watch::Role>,
     /// Wakes the driver when a change must not wait for the next round.
     urgent: Notify,
     /// The revision of the view, for those who follow it.
-    revision: watch::Sender<u64>,
+    revision: Sender<u64>,
     reporters: Mutex<Reporters>,
 }
 
@@ -203,7 +205,7 @@
 
     /// Follows changes of members and marks; the value only tells versions of the view apart.
     #[must_use]
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
+    pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
         self.shared.revision.subscribe()
     }
 
@@ -303,10 +305,12 @@
         copies: copy::Copies::default(),
         fetching: AtomicBool::new(false),
         counts,
+        role: Arc::default(),
         urgent: Notify::new(),
-        revision: watch::channel(0).0,
+        revision: Sender::new(0),
         reporters: Mutex::default(),
     });
+    kernel.provide(Arc::clone(&shared.role));
     kernel.provide(Arc::new(Peers {
         shared: Arc::clone(&shared),
     }));
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -27,6 +27,8 @@
     pub chain: Chain,
     /// Request policy.
     pub policy: Policy,
+    /// Engine orders.
+    pub orders: Orders,
     /// Shutdown.
     pub shutdown: Shutdown,
     /// Level of the log.
@@ -127,6 +129,13 @@
     }
 }
 
+/// Engine orders.
+#[derive(Clone, Copy, Debug)]
+pub struct Orders {
+    /// Engines that load weights at once.
+    pub max_loading: usize,
+}
+
 /// Shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -274,6 +283,9 @@
             policy: Policy {
                 name: self.policy(&raw.policy.name),
             },
+            orders: Orders {
+                max_loading: self.positive("orders.max_loading", raw.orders.max_loading),
+            },
             shutdown: Shutdown {
                 lame_duck: raw.shutdown.lame_duck,
                 drain: raw.shutdown.drain,
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -50,6 +50,8 @@
         chain: Chain = Chain::default();
         /// Request policy.
         policy: Policy = Policy::default();
+        /// Engine orders.
+        orders: Orders = Orders::default();
         /// Shutdown.
         shutdown: Shutdown = Shutdown::default();
         /// Log.
@@ -119,6 +121,11 @@
         /// Name of the policy.
         name: String = "jaystand".to_owned();
     }
+    /// Engine orders.
+    Orders {
+        /// Engines that load weights at once; more slow each other down.
+        max_loading: usize = 2;
+    }
     /// Shutdown.
     Shutdown {
         /// How long the daemon accepts after it has reported not ready.
@@ -171,6 +178,7 @@
         limits: reader.section(&mut table, "limits", Limits::KEYS),
         chain: reader.section(&mut table, "chain", Chain::KEYS),
         policy: reader.section(&mut table, "policy", Policy::KEYS),
+        orders: reader.section(&mut table, "orders", Orders::KEYS),
         shutdown: reader.section(&mut table, "shutdown", Shutdown::KEYS),
         log: reader.section(&mut table, "log", Log::KEYS),
         trace: reader.section(&mut table, "trace", Trace::KEYS),
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -303,6 +303,7 @@
              [peers]\nseeds = [{}]\nkey = {PEER_KEY:?}\n\n\
              [admin]\nkey = {ADMIN_KEY:?}\n\n\
              [policy]\nname = {policy:?}\n\n\
+             [orders]\nmax_loading = {}\n\n\
              [shutdown]\nlame_duck = \"300ms\"\ndrain = \"30s\"\n\n\
              [log]\nlevel = \"warn\"\n",
             bootstrap.to_string_lossy(),
@@ -314,6 +315,7 @@
             own.peers,
             self.platform.address(),
             seeds.join(", "),
+            self.deployment.loading,
         )
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod engine;
 pub mod error;
 pub mod header;
+pub mod order;
 pub mod peer;
 pub mod sse;
