--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -100,7 +100,7 @@
         answering.stream(entry).await
     };
     if let Some(claim) = claim {
-        claim.settle(outcome, &response);
+        claim.settle(outcome, &response).await;
     }
     once::name_key(&mut response, key.as_deref());
     Ok(response)
--- a/crates/daemon/src/claim/worker.rs
+++ b/crates/daemon/src/claim/worker.rs
@@ -31,6 +31,8 @@
     End {
         id: claim::Ticket,
         outcome: Outcome,
+        /// Told once the outcome is recorded.
+        recorded: oneshot::Sender<()>,
     },
     Forget {
         id: claim::Ticket,
@@ -61,6 +63,7 @@
     started: Instant,
     group: Group,
     waiting: HashMap<claim::Ticket, Waiting>,
+    recording: Vec<(claim::Ticket, oneshot::Sender<()>)>,
     draining: Option<oneshot::Sender<()>>,
 }
 
@@ -79,6 +82,7 @@
             started: Instant::now(),
             group: Group::default(),
             waiting: HashMap::new(),
+            recording: Vec::new(),
             draining: None,
         }
     }
@@ -147,7 +151,14 @@
                 let id = self.group.acquire(key, body, rand::random());
                 self.waiting.insert(id, Waiting { deadline, answer });
             }
-            Command::End { id, outcome } => self.group.finish(wall_clock(), id, outcome),
+            Command::End {
+                id,
+                outcome,
+                recorded,
+            } => {
+                self.group.finish(wall_clock(), id, outcome);
+                self.recording.push((id, recorded));
+            }
             Command::Forget { id } => self.group.forget(id),
             Command::Drain { done } => {
                 self.draining = Some(done);
@@ -190,6 +201,16 @@
             Done::Wrote(result) => self.group.wrote(now, wall, result, &mut verdicts),
         }
         self.conclude(verdicts);
+        self.announce();
+    }
+
+    /// Tells those who wait for a record that it stands.
+    fn announce(&mut self) {
+        let group = &self.group;
+        for (_, recorded) in self.recording.extract_if(.., |(id, _)| !group.holds(*id)) {
+            // Nobody has to wait.
+            let _ = recorded.send(());
+        }
     }
 
     /// Gives up the attempts whose deadline is not after `now`.
@@ -228,7 +249,7 @@
             let Some(waiting) = waiting else { continue };
             if let Err(Verdict::Dispatch(ticket)) = waiting.answer.send(verdict) {
                 // The caller went away before the verdict, so that nothing will be sent.
-                ticket.end(Outcome::NotSent);
+                drop(ticket.end(Outcome::NotSent));
             }
         }
     }
--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -16,6 +16,9 @@
 
 /// When to come back to a daemon that has no platform to record claims in.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Longest delay of an answer for its record. A repeat right after the answer should find the record, and an outage of
+/// the platform must not hold the answer back.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The right to send a request, and the duty to settle it. Dropping it leaves the claim in place, so that repeats
 /// are told that the outcome is unknown.
@@ -130,8 +133,8 @@
 }
 
 impl Claim {
-    /// Settles a claim by what became of its request.
-    pub(crate) fn settle(self, outcome: Outcome, response: &Response<Body>) {
+    /// Settles a claim by what became of its request, and waits a short time for the record of an answer.
+    pub(crate) async fn settle(self, outcome: Outcome, response: &Response<Body>) {
         match (outcome, response.body()) {
             (Outcome::NotRun, _) => self.claims.release(self.ticket),
             (Outcome::Done, Body::Whole(Some(body))) => {
@@ -142,7 +145,9 @@
                     content_type: content_type.unwrap_or_default().into(),
                     body: body.clone(),
                 };
-                self.claims.finish(self.ticket, reply);
+                let recorded = self.claims.finish(self.ticket, reply);
+                // The record is still written when this gives up.
+                let _ = tokio::time::timeout(RECORD_TIMEOUT, recorded).await;
             }
             // A streamed answer is not kept, and of an unknown one nothing is known.
             (Outcome::Done | Outcome::Unknown, _) => {}
