Show the error codes of a comparison

Cause: the counts of refused and failed answers do not say why.

Change: callers keep the code of an error body or error event, and compare prints how often each occurred.

--- a/crates/standin/src/bench/compare.rs
+++ b/crates/standin/src/bench/compare.rs
@@ -1,6 +1,6 @@
 //! `compare`: the same seeded load for each policy.
 
-use std::{fs, io, path::PathBuf, sync::Arc, time::Instant};
+use std::{collections::BTreeMap, fs, io, path::PathBuf, sync::Arc, time::Instant};
 
 use clap::Args;
 use jaystand_standin::fleet::Deployment;
@@ -92,6 +92,10 @@
                     "did not end in time"
                 },
             );
+            let codes = error_codes(&outcome);
+            if !codes.is_empty() {
+                eprintln!("  error codes: {codes:?}");
+            }
             series.runs.push(figures);
         }
     }
@@ -106,6 +110,16 @@
     Ok(true)
 }
 
+/// How often each error code was answered.
+fn error_codes(outcome: &run::Outcome) -> BTreeMap<&str, u32> {
+    let mut codes = BTreeMap::new();
+    let answers = outcome.answers.iter().flatten();
+    for answer in answers.filter(|answer| !answer.error_code.is_empty()) {
+        *codes.entry(answer.error_code.as_str()).or_default() += 1;
+    }
+    codes
+}
+
 fn print_table(deployment: &Deployment, options: &Options, series: &[Series]) {
     let last = options.seed + options.seeds.saturating_sub(1);
     println!(
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -65,6 +65,8 @@
     pub cached_tokens: Option<u32>,
     /// Outcome, from the header, the last event or the error body.
     pub outcome: String,
+    /// Code of the error body or error event.
+    pub error_code: String,
     /// `Retry-After`.
     pub retry_after: Option<String>,
     /// Time to the first token.
@@ -275,6 +277,9 @@
     }
 
     fn take_outcome(&mut self, value: &Value) {
+        if let Some(code) = value["error"]["code"].as_str() {
+            code.clone_into(&mut self.error_code);
+        }
         let places = [
             &value["outcome"],
             &value["error"]["outcome"],
