--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -19,6 +19,7 @@
     entry::{Call, Entry, Shape, Submitted, Tally},
     exchange::Answer,
     hub::Configured,
+    once::{self, Permission},
     reply::{Body, Problem, insert, insert_outcome},
 };
 
@@ -40,23 +41,49 @@
     let model = request.model.as_ref();
     let shape = shape(entry, &call, &request);
     let team = call.team.clone();
-    let submitted = entry.submit(
-        &mut call,
-        |configured| find_rule(configured, &team, kind.as_deref(), model),
-        &shape,
-    )?;
+    let find = |configured: &Configured| find_rule(configured, &team, kind.as_deref(), model);
+    let found = find(&call.configured)?;
+    let key = once::key(&call.head.headers, found.repeat)?;
+    let deadline = call.arrived + found.limits.deadline;
+    let content = [call.head.uri.path().as_bytes(), &body[..]];
+    let permission = once::permit(
+        entry,
+        found.repeat,
+        &team,
+        key.as_deref(),
+        content,
+        deadline,
+    );
+    let claim = match permission.await? {
+        Permission::Free => None,
+        Permission::Claimed(claim) => Some(claim),
+        Permission::Answered(mut response) => {
+            once::name_key(&mut response, key.as_deref());
+            return Ok(response);
+        }
+    };
+    let submitted = entry.submit(&mut call, find, &shape);
+    let submitted = submitted.and_then(|submitted| submitted.check_repeat(found.repeat));
     let Submitted {
         handle,
         deadline,
         rule,
         tally,
-    } = submitted;
+    } = match submitted {
+        Ok(submitted) => submitted,
+        Err(problem) => {
+            if let Some(claim) = claim {
+                claim.release();
+            }
+            return Err(problem);
+        }
+    };
     let job = Job::Chat {
         team,
         model: model.into(),
         body: engine_body(&request, &body),
         original: body.clone(),
-        headers: engine_headers(&call.head.headers),
+        headers: engine_headers(&call.head.headers, key.as_deref()),
     };
     let metrics = Arc::clone(&entry.metrics);
     let whole = !request.stream;
@@ -67,11 +94,16 @@
         tally,
         prompt_tokens: shape.prompt_tokens,
     };
-    Ok(if whole {
+    let (outcome, mut response) = if whole {
         answering.whole(entry).await
     } else {
         answering.stream(entry).await
-    })
+    };
+    if let Some(claim) = claim {
+        claim.settle(outcome, &response);
+    }
+    once::name_key(&mut response, key.as_deref());
+    Ok(response)
 }
 
 struct Answering {
@@ -82,7 +114,7 @@
 }
 
 impl Answering {
-    async fn whole(mut self, entry: &Entry) -> Response<Body> {
+    async fn whole(mut self, entry: &Entry) -> (Outcome, Response<Body>) {
         loop {
             match self.driver.next().await {
                 Output::Event(_) => {}
@@ -98,14 +130,15 @@
                     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                     insert_outcome(headers, Outcome::Done);
                     self.tally.end(Outcome::Done);
-                    return response;
+                    return (Outcome::Done, response);
                 }
                 other => return self.without_stream(other),
             }
         }
     }
 
-    async fn stream(mut self, entry: &Entry) -> Response<Body> {
+    /// A stream's outcome is not known when its head goes out.
+    async fn stream(mut self, entry: &Entry) -> (Outcome, Response<Body>) {
         let first = match self.driver.next().await {
             Output::Event(event) => event,
             other => return self.without_stream(other),
@@ -121,17 +154,17 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
         headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
         tokio::spawn(pump(self.driver, first, sender, self.tally));
-        response
+        (Outcome::Unknown, response)
     }
 
     /// Answers with something that is not a stream.
-    fn without_stream(self, output: Output) -> Response<Body> {
+    fn without_stream(self, output: Output) -> (Outcome, Response<Body>) {
         match output {
             Output::Answer(answer) => {
                 let outcome = answer.outcome();
                 let response = pass_on(answer, self.id, self.driver.source());
                 self.tally.end(outcome);
-                response
+                (outcome, response)
             }
             Output::Refused {
                 reason,
@@ -139,7 +172,8 @@
                 outcome,
             } => {
                 self.tally.end(outcome);
-                Problem::refused(reason, retry_after, outcome).response(Some(self.id))
+                let problem = Problem::refused(reason, retry_after, outcome);
+                (outcome, problem.response(Some(self.id)))
             }
             // A stream delivers an event before it ends.
             Output::Event(_) | Output::End => {
@@ -147,7 +181,7 @@
                 let status = StatusCode::BAD_GATEWAY;
                 let mut problem = Problem::request(status, "empty_answer", message);
                 problem.outcome = Outcome::Unknown;
-                problem.response(Some(self.id))
+                (Outcome::Unknown, problem.response(Some(self.id)))
             }
         }
     }
@@ -314,13 +348,14 @@
     request.to_engine(None).into()
 }
 
-fn engine_headers(caller: &HeaderMap) -> HeaderMap {
+fn engine_headers(caller: &HeaderMap, key: Option<&str>) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(16);
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    for name in [header::TRACEPARENT, header::IDEMPOTENCY_KEY] {
-        if let Some(value) = caller.get(&name) {
-            headers.insert(name, value.clone());
-        }
+    if let Some(value) = caller.get(header::TRACEPARENT) {
+        headers.insert(header::TRACEPARENT, value.clone());
+    }
+    if let Some(key) = key {
+        insert(&mut headers, header::IDEMPOTENCY_KEY, key);
     }
     headers
 }
