--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -264,9 +264,7 @@
             },
             platform: self.platform(&raw.platform),
             peers: self.peers(raw.peers),
-            admin: Admin {
-                key: raw.admin.key.into(),
-            },
+            admin: Admin { key: raw.admin.key },
             limits: self.limits(&raw.limits),
             chain: Chain {
                 piece_bytes: self.positive("chain.piece_bytes", raw.chain.piece_bytes),
@@ -352,13 +350,10 @@
                 );
                 raw.key
             }
-            (true, false) => self.key_file("peers.key_file", &raw.key_file),
+            (true, false) => self.key_file("peers.key_file", &raw.key_file).into(),
             _ => raw.key,
         };
-        Peers {
-            seeds,
-            key: key.into(),
-        }
+        Peers { seeds, key }
     }
 
     fn key_file(&mut self, key: &str, path: &str) -> String {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jaystand_types::Secret;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{Fault, Faults};
@@ -89,14 +90,14 @@
         /// Addresses to join through.
         seeds: Vec<String> = Vec::new();
         /// Shared key.
-        key: String = String::new();
+        key: Secret = Secret::default();
         /// File that holds the shared key.
         key_file: String = String::new();
     }
     /// Administration.
     Admin {
         /// Key of the admin API.
-        key: String = String::new();
+        key: Secret = Secret::default();
     }
     /// Bounds on what callers may send.
     Limits {
