Give the connection's task a turn instead of a task to read the end

Cause: after the terminal marker the daemon started a task with a timer for each request to read the end of the body, since the end is reported by the connection's own task, which had not run yet. Starting a task wakes a further worker thread.

Change: the request yields once; only a body that has not ended then is read in the background.

Kept because it starts one task and one timer less a request.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -77,6 +77,12 @@
         decoder: Box<Decoder>,
         begun: bool,
     },
+    /// The terminal marker has come; the rest of the body is read so that the connection can be used again.
+    Ending {
+        body: Incoming,
+        marker: Event,
+        yielded: bool,
+    },
     Whole {
         status: StatusCode,
         headers: HeaderMap,
@@ -175,14 +181,24 @@
                     Err(error) => send_failure(&error),
                 },
                 State::Events { body, decoder, .. } => match next_event(body, decoder).await {
-                    Ok(event) => {
-                        if event.data == DONE {
-                            self.drain();
-                        }
-                        return Signal::Event(event);
+                    Ok(event) if event.data == DONE => {
+                        self.ending(event);
+                        continue;
                     }
+                    Ok(event) => return Signal::Event(event),
                     Err(failure) => failure,
                 },
+                State::Ending { body, yielded, .. } => {
+                    let frame = body.frame().now_or_never();
+                    let ended = matches!(frame, Some(None | Some(Err(_))));
+                    if !ended && !*yielded {
+                        // The connection's task is mostly ready to report the end and needs a turn only.
+                        *yielded = true;
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
+                    return self.drain(ended);
+                }
                 State::Whole { body, received, .. } => match read_whole(body, received).await {
                     Ok(()) => return self.answer(),
                     Err(failure) => failure,
@@ -306,18 +322,32 @@
         }
     }
 
-    /// Reads the end of the body after the terminal marker, without which the connection would close.
-    fn drain(&mut self) {
-        let State::Events { mut body, .. } = std::mem::replace(&mut self.state, State::Over) else {
-            return;
+    fn ending(&mut self, marker: Event) {
+        if let State::Events { body, .. } = std::mem::replace(&mut self.state, State::Over) {
+            self.state = State::Ending {
+                body,
+                marker,
+                yielded: false,
+            };
+        }
+    }
+
+    /// Passes the terminal marker on. A body that has not ended yet is read to its end in the background, without
+    /// which the connection would close.
+    fn drain(&mut self, ended: bool) -> Signal {
+        let State::Ending {
+            mut body, marker, ..
+        } = std::mem::replace(&mut self.state, State::Over)
+        else {
+            return Signal::Failed(Failure::Broken);
         };
-        if let Some(None) = body.frame().now_or_never() {
-            return;
+        if !ended {
+            tokio::spawn(async move {
+                let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+                let _ = tokio::time::timeout(TRAILER_TIMEOUT, rest).await;
+            });
         }
-        tokio::spawn(async move {
-            let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-            let _ = tokio::time::timeout(TRAILER_TIMEOUT, rest).await;
-        });
+        Signal::Event(marker)
     }
 }
 
