--- a/crates/daemon/src/entry/listen.rs
+++ b/crates/daemon/src/entry/listen.rs
@@ -23,7 +23,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::Entry;
-use crate::{Addresses, Bound, hub::Hub, memory::Memory, metrics::Metrics, settings::Settings};
+use crate::{
+    Addresses, Bound, claim::Claims, hub::Hub, memory::Memory, metrics::Metrics, settings::Settings,
+};
 
 /// Streams that one HTTP/2 connection may have open.
 const MAX_CONCURRENT_STREAMS: u32 = 256;
@@ -51,8 +53,11 @@
         metrics: kernel.require::<Metrics>()?,
         memory: Memory::default(),
         lifecycle: kernel.lifecycle().clone(),
+        claims: kernel.require::<Claims>().ok(),
+        background: TaskTracker::new(),
         settings,
     });
+    let background = entry.background.clone();
     let connections = TaskTracker::new();
     let stop = CancellationToken::new();
     let accepting = tokio::spawn(accept(listener, entry, connections.clone(), stop.clone()));
@@ -62,6 +67,8 @@
         let _ = accepting.await;
         connections.close();
         connections.wait().await;
+        background.close();
+        background.wait().await;
     }))
 }
 
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -9,12 +9,14 @@
 use jaystand_sheet::{Rule, Target};
 use jaystand_types::{Outcome, RepeatRule};
 use jaystand_wire::header;
+use tracing::Instrument;
 
 use crate::{
     chat,
     drive::{Driver, Job, Output},
-    entry::{Call, Entry, Shape, Submitted, idempotency_key},
+    entry::{Call, Entry, Shape, Submitted},
     hub::Configured,
+    once::{self, Permission},
     reply::{Body, Problem, insert},
 };
 
@@ -37,79 +39,130 @@
 /// Serves a call of a plain service.
 pub(crate) async fn call(
     entry: &Arc<Entry>,
-    mut call: Call,
+    call: Call,
     kind: &str,
 ) -> Result<Response<Body>, Problem> {
-    let team = call.team.clone();
-    let find = |configured: &Configured| find_rule(configured, &team, kind);
-    let rule = find(&call.configured)?;
-    let key = key(&call.head.headers, rule.repeat)?;
-    if rule.repeat == RepeatRule::Once {
-        return Err(Problem::unavailable(
-            "claims_unavailable",
-            "the request must run at most once, which cannot be ensured now",
-            std::time::Duration::from_secs(1),
-        ));
-    }
-    let submitted = entry.submit(&mut call, find, &Shape::default())?;
-    let Submitted {
-        handle,
-        deadline,
+    let rule = find_rule(&call.configured, &call.team, kind)?;
+    let key = once::key(&call.head.headers, rule.repeat)?;
+    let work = Work {
+        entry: Arc::clone(entry),
+        call,
         rule,
-        tally,
-    } = submitted;
-    let mut headers = end_to_end(&call.head.headers);
-    if let Some(key) = &key {
-        insert(&mut headers, header::IDEMPOTENCY_KEY, key);
-    }
-    let job = Job::Service {
-        method: call.head.method.clone(),
-        path: call.head.uri.clone(),
-        headers,
-        body: call.body.clone(),
-        once: rule.repeat == RepeatRule::Once,
+        key,
     };
-    let metrics = Arc::clone(&entry.metrics);
-    let mut driver = Driver::new(handle, job, false, deadline, rule.urgency, metrics);
-    let mut response = match driver.next().await {
-        Output::Answer(answer) => {
-            let outcome = answer.outcome();
-            let response = chat::pass_on(answer, call.id, driver.source());
-            tally.end(outcome);
-            response
-        }
-        Output::Refused {
-            reason,
-            retry_after,
-            outcome,
-        } => {
-            tally.end(outcome);
-            Problem::refused(reason, retry_after, outcome).response(Some(call.id))
+    if work.rule.repeat != RepeatRule::Once {
+        return work.run().await;
+    }
+    // The result is recorded for a repeat even when the caller goes away.
+    let span = tracing::Span::current();
+    let task = entry.background.spawn(work.run().instrument(span));
+    task.await.unwrap_or_else(|error| {
+        log::error!("a call that must run once failed: {error}");
+        Err(unknown_end("the daemon failed while the call ran"))
+    })
+}
+
+struct Work {
+    entry: Arc<Entry>,
+    call: Call,
+    rule: Arc<Rule>,
+    key: Option<String>,
+}
+
+impl Work {
+    async fn run(mut self) -> Result<Response<Body>, Problem> {
+        let path = self.call.head.uri.path().as_bytes();
+        let permission = once::permit(
+            &self.entry,
+            self.rule.repeat,
+            &self.call.team,
+            self.key.as_deref(),
+            [path, &self.call.body],
+            self.call.arrived + self.rule.limits.deadline,
+        );
+        let claim = match permission.await? {
+            Permission::Free => None,
+            Permission::Claimed(claim) => Some(claim),
+            Permission::Answered(mut response) => {
+                once::name_key(&mut response, self.key.as_deref());
+                return Ok(response);
+            }
+        };
+        let submitted = match self.submit() {
+            Ok(submitted) => submitted,
+            Err(problem) => {
+                if let Some(claim) = claim {
+                    claim.release();
+                }
+                return Err(problem);
+            }
+        };
+        let (outcome, mut response) = self.answer(submitted).await;
+        if let Some(claim) = claim {
+            claim.settle(outcome, &response);
         }
-        // A service's attempt yields whole answers only.
-        Output::Event(_) | Output::End => {
-            let message = "the backend server sent a stream";
-            let status = StatusCode::BAD_GATEWAY;
-            let mut problem = Problem::request(status, "backend_failed", message);
-            problem.outcome = Outcome::Unknown;
-            problem.response(Some(call.id))
+        once::name_key(&mut response, self.key.as_deref());
+        Ok(response)
+    }
+
+    fn submit(&mut self) -> Result<Submitted, Problem> {
+        let team = self.call.team.clone();
+        let kind = self.rule.kind.clone();
+        let find = |configured: &Configured| find_rule(configured, &team, &kind);
+        let entry = Arc::clone(&self.entry);
+        let submitted = entry.submit(&mut self.call, find, &Shape::default())?;
+        submitted.check_repeat(self.rule.repeat)
+    }
+
+    async fn answer(&self, submitted: Submitted) -> (Outcome, Response<Body>) {
+        let Submitted {
+            handle,
+            deadline,
+            rule,
+            tally,
+        } = submitted;
+        let mut headers = end_to_end(&self.call.head.headers);
+        if let Some(key) = &self.key {
+            insert(&mut headers, header::IDEMPOTENCY_KEY, key);
         }
-    };
-    if let Some(key) = &key {
-        insert(response.headers_mut(), header::IDEMPOTENCY_KEY, key);
+        let job = Job::Service {
+            method: self.call.head.method.clone(),
+            path: self.call.head.uri.clone(),
+            headers,
+            body: self.call.body.clone(),
+            once: rule.repeat == RepeatRule::Once,
+        };
+        let metrics = Arc::clone(&self.entry.metrics);
+        let mut driver = Driver::new(handle, job, false, deadline, rule.urgency, metrics);
+        let id = self.call.id;
+        let (outcome, response) = match driver.next().await {
+            Output::Answer(answer) => {
+                let outcome = answer.outcome();
+                (outcome, chat::pass_on(answer, id, driver.source()))
+            }
+            Output::Refused {
+                reason,
+                retry_after,
+                outcome,
+            } => {
+                let problem = Problem::refused(reason, retry_after, outcome);
+                (outcome, problem.response(Some(id)))
+            }
+            // A service's attempt yields whole answers only.
+            Output::Event(_) | Output::End => {
+                let problem = unknown_end("the backend server sent a stream");
+                (Outcome::Unknown, problem.response(Some(id)))
+            }
+        };
+        tally.end(outcome);
+        (outcome, response)
     }
-    Ok(response)
 }
 
-/// The idempotency key; one is minted for unrepeatable requests without one.
-fn key(headers: &HeaderMap, repeat: RepeatRule) -> Result<Option<String>, Problem> {
-    let given = idempotency_key(headers)?;
-    Ok(match (given, repeat) {
-        (None, RepeatRule::Once | RepeatRule::OnceChecked) => {
-            Some(format!("{:032x}", rand::random::<u128>()))
-        }
-        (given, _) => given,
-    })
+fn unknown_end(message: &str) -> Problem {
+    let mut problem = Problem::request(StatusCode::BAD_GATEWAY, "backend_failed", message);
+    problem.outcome = Outcome::Unknown;
+    problem
 }
 
 fn find_rule(configured: &Configured, team: &str, kind: &str) -> Result<Arc<Rule>, Problem> {
