--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -19,6 +19,8 @@
 const KEPT_PART: f64 = 0.5;
 /// Service that a request costs its team on top of its answer, in tokens.
 const BASE_CHARGE: f64 = 32.0;
+/// Times the least time until the first token, by urgency class: engines let less urgent work wait.
+const FLOOR_FACTORS: [u32; queue::CLASSES] = [1, 2, 4];
 /// Prompt tokens cost this part of an answer token: they are computed many at a time.
 const PROMPT_CHARGE: f64 = 0.02;
 
@@ -63,17 +65,19 @@
         let tokens = backend.pending_tokens + choice.missed;
         backend.enter(now, flight.long);
         backend.pending_tokens += pending;
+        backend.awaiting += 1;
         self.ranks[choice.server as usize] = Rank::new(now, backend);
+        let class = queue::class(flight.request.urgency);
+        let floor = self.settings.first_token_floor * FLOOR_FACTORS[class];
         let left = flight.request.deadline.saturating_sub(now);
         let first_token_deadline = backend
             .latency
-            .first_token_deadline(tokens, self.settings.first_token_floor)
+            .first_token_deadline(tokens, floor)
             .min(left);
         let token_deadline = backend.latency.token_deadline(self.settings.token_floor);
         let late = backend.expected_first_token(tokens) + self.lateness.margin();
         let late = now + figure::duration(late);
         self.timers.push(late, Due::Late(id, running.number));
-        let class = queue::class(flight.request.urgency);
         if flight.charged == 0.0 {
             flight.charged = flight.predicted
                 + BASE_CHARGE
@@ -199,6 +203,7 @@
         let backend = &mut self.backends[running.server as usize];
         backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
         backend.overdue -= u32::from(running.late);
+        backend.awaiting -= 1;
         if running.resume {
             return;
         }
@@ -319,6 +324,7 @@
         if !running.first_token {
             backend.pending_tokens = (backend.pending_tokens - running.pending).max(0.0);
             backend.overdue -= u32::from(running.late);
+            backend.awaiting -= 1;
         }
         backend.leave(now, running.long);
         self.rank(now, running.server);
