Spend the call budget on claims that can be recorded

Cause: under more orders than the daemons' budgets of platform calls allow, claims read shards and then had no budget left to write them, and each refused write led to another read.

Change: the reads of a yielding client leave half of the budget to writes and to other calls, such as the configuration watch; claims use one. A claim whose write was provably not taken ends as `not_run` at once, in place of up to six attempts.

--- a/crates/control/src/claim/machine.rs
+++ b/crates/control/src/claim/machine.rs
@@ -6,7 +6,7 @@
 
 use super::{BodyHash, Found, Key, Nonce, Reason, Record, Reply, Seconds, Shard, State};
 
-/// Conflicts and refused writes after which a claim is given up; about 0.3 s with the delays in between.
+/// Conflicts and lost writes after which a claim is given up; about 0.3 s with the delays in between.
 const MAX_ATTEMPTS: u32 = 6;
 
 /// Conflicts that are followed by another read at once. Beyond these the shard is contended.
@@ -310,13 +310,17 @@
                 }
                 self.read_back()
             }
-            Err(Fault::Conflict) => self.retry(Reason::Contended, IMMEDIATE_ATTEMPTS),
-            Err(Fault::Unavailable | Fault::Corrupt) => self.retry(Reason::Unreachable, 0),
+            Err(Fault::Conflict) => self.retry(),
+            // Nothing was taken, so that the caller can come back; more calls would only add to an overload.
+            Err(Fault::Unavailable | Fault::Corrupt) if self.goal == Goal::Claim => {
+                self.conclude(Step::NotRun(Reason::Unreachable))
+            }
+            Err(Fault::Unavailable | Fault::Corrupt) => self.wait(),
         }
     }
 
-    /// Reads the shard after a write whose answer was lost. A read may still find the claim when no further write
-    /// is allowed, so it is never skipped.
+    /// Reads the shard after a write that was lost or conflicted, the first times at once. After a lost write the
+    /// read may still find the claim when no further write is allowed, so it is never skipped.
     fn read_back(&mut self) -> Step {
         if self.attempts >= IMMEDIATE_ATTEMPTS {
             return self.wait();
@@ -325,16 +329,12 @@
         self.read()
     }
 
-    /// Tries again after a write that did not take effect.
-    fn retry(&mut self, reason: Reason, immediate: u32) -> Step {
+    /// Tries again after a conflict.
+    fn retry(&mut self) -> Step {
         if self.goal == Goal::Claim && self.attempts + 1 >= MAX_ATTEMPTS {
-            return self.conclude(Step::NotRun(reason));
+            return self.conclude(Step::NotRun(Reason::Contended));
         }
-        if self.attempts < immediate {
-            self.attempts += 1;
-            return self.read();
-        }
-        self.wait()
+        self.read_back()
     }
 
     fn wait(&mut self) -> Step {
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -209,7 +209,7 @@
 }
 
 async fn start(kernel: Kernel) -> Started {
-    let store = platform::client(&kernel)?.map(|client| client.as_ref().clone());
+    let store = platform::client(&kernel)?.map(|client| client.yielding());
     let claims = Claims::start(&store, kernel.timer().clone(), kernel.metrics());
     let claims = Arc::new(claims.into_diagnostic()?);
     kernel.provide(Arc::clone(&claims));
--- a/crates/platform/src/bucket.rs
+++ b/crates/platform/src/bucket.rs
@@ -25,12 +25,12 @@
         }
     }
 
-    /// Takes one token; false when none is left.
-    pub(crate) fn take(&mut self, now: Moment) -> bool {
+    /// Takes one token if that leaves `share` of the burst to others; false when it does not.
+    pub(crate) fn take(&mut self, now: Moment, share: f64) -> bool {
         let passed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = self.refilled.max(now);
         self.tokens = (self.tokens + passed * self.per_s).min(self.burst);
-        let granted = self.tokens >= 1.0;
+        let granted = self.tokens >= 1.0 + (self.burst - 1.0) * share;
         if granted {
             self.tokens -= 1.0;
         }
--- a/crates/platform/src/bucket/tests.rs
+++ b/crates/platform/src/bucket/tests.rs
@@ -6,7 +6,7 @@
     let mut bucket = Bucket::new(3.0);
     let grants = |bucket: &mut Bucket, at| {
         (0..10)
-            .filter(|_| bucket.take(Duration::from_secs(at)))
+            .filter(|_| bucket.take(Duration::from_secs(at), 0.0))
             .count()
     };
     assert_eq!(grants(&mut bucket, 0), 3);
@@ -18,3 +18,13 @@
     assert_eq!(grants(&mut slow, 1), 0);
     assert_eq!(grants(&mut slow, 2), 1);
 }
+
+/// Guards against calls that yield to others and use up the budget of those others.
+#[test]
+fn a_share_is_left_to_others() {
+    let mut bucket = Bucket::new(9.0);
+    let now = Duration::ZERO;
+    assert_eq!((0..20).filter(|_| bucket.take(now, 0.5)).count(), 5);
+    assert_eq!((0..20).filter(|_| bucket.take(now, 0.0)).count(), 4);
+    assert!(Bucket::new(1.0).take(now, 0.5));
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -27,10 +27,14 @@
 /// Names are short; the bound keeps a faulty caller from sending an unbounded request line.
 const MAX_NAME_BYTES: usize = 200;
 
+/// Share of the budget that the reads of a yielding client leave to other calls.
+const YIELDED_SHARE: f64 = 0.5;
+
 /// Client of the object API. Clones share connections and budget.
 #[derive(Clone)]
 pub struct Client {
     shared: Arc<Shared>,
+    yields: bool,
 }
 
 struct Shared {
@@ -76,9 +80,21 @@
         };
         Ok(Self {
             shared: Arc::new(shared),
+            yields: false,
         })
     }
 
+    /// A clone whose reads leave half of the budget to its writes and to the other calls of the process. For work
+    /// that reads before it writes and may be refused: without a share for the writes, an overload would spend the
+    /// whole budget on reads that lead to nothing.
+    #[must_use]
+    pub fn yielding(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            yields: true,
+        }
+    }
+
     /// Reads an object; `None` when it does not exist.
     ///
     /// # Errors
@@ -235,7 +251,9 @@
     /// Sends a call once, if the budget allows it.
     async fn send(&self, call: &Call<'_>, limit: usize) -> Result<Answer, Error> {
         let shared = &self.shared;
-        if !shared.bucket.lock().take(shared.started.elapsed()) {
+        let yields = self.yields && call.method == Method::GET;
+        let share = if yields { YIELDED_SHARE } else { 0.0 };
+        if !shared.bucket.lock().take(shared.started.elapsed(), share) {
             return Err(Error::Budget);
         }
         let settings = &shared.settings;
