--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -138,14 +138,15 @@
         verdict
     }
 
-    /// Records the answer of a dispatched request for repeats, in the background.
-    pub fn finish(&self, ticket: Ticket, reply: StoredReply) {
-        ticket.end(Outcome::Replied(reply));
+    /// Records the answer of a dispatched request for repeats. The record is written in the background, whether the
+    /// returned receiver is awaited or not; it completes once the record stands.
+    pub fn finish(&self, ticket: Ticket, reply: StoredReply) -> oneshot::Receiver<()> {
+        ticket.end(Outcome::Replied(reply))
     }
 
     /// Gives the key free again, in the background. Only for a request of which provably no byte was sent.
     pub fn release(&self, ticket: Ticket) {
-        ticket.end(Outcome::NotSent);
+        drop(ticket.end(Outcome::NotSent));
     }
 
     /// Refuses new claims and waits until every result and release is recorded.
@@ -174,10 +175,15 @@
         }
     }
 
-    fn end(mut self, outcome: Outcome) {
+    fn end(mut self, outcome: Outcome) -> oneshot::Receiver<()> {
         self.ended = true;
-        let id = self.id;
-        let _ = self.shard.send(Command::End { id, outcome });
+        let (recorded, receiver) = oneshot::channel();
+        let _ = self.shard.send(Command::End {
+            id: self.id,
+            outcome,
+            recorded,
+        });
+        receiver
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod metrics;
 mod once;
+mod order;
 pub mod peer;
 pub mod platform;
 mod poll;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -99,7 +99,7 @@
         };
         let (outcome, mut response) = self.answer(submitted).await;
         if let Some(claim) = claim {
-            claim.settle(outcome, &response);
+            claim.settle(outcome, &response).await;
         }
         once::name_key(&mut response, self.key.as_deref());
         Ok(response)
