--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -36,7 +36,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     net::TcpListener,
-    sync::{Notify, watch},
+    sync::{Notify, watch::Sender},
     task::JoinSet,
 };
 
@@ -76,7 +76,7 @@
     /// Wakes the driver when a change must not wait for the next round.
     urgent: Notify,
     /// The revision of the view, for those who follow it.
-    revision: watch::Sender<u64>,
+    revision: Sender<u64>,
     reporters: Mutex<Reporters>,
 }
 
@@ -203,7 +203,7 @@
 
     /// Follows changes of members and marks; the value only tells versions of the view apart.
     #[must_use]
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
+    pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
         self.shared.revision.subscribe()
     }
 
@@ -304,7 +304,7 @@
         fetching: AtomicBool::new(false),
         counts,
         urgent: Notify::new(),
-        revision: watch::channel(0).0,
+        revision: Sender::new(0),
         reporters: Mutex::default(),
     });
     kernel.provide(Arc::new(Peers {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -27,6 +27,8 @@
     pub chain: Chain,
     /// Request policy.
     pub policy: Policy,
+    /// Engine orders.
+    pub orders: Orders,
     /// Shutdown.
     pub shutdown: Shutdown,
     /// Level of the log.
@@ -127,6 +129,13 @@
     }
 }
 
+/// Engine orders.
+#[derive(Clone, Copy, Debug)]
+pub struct Orders {
+    /// Engines that load weights at once.
+    pub max_loading: usize,
+}
+
 /// Shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -264,9 +273,7 @@
             },
             platform: self.platform(&raw.platform),
             peers: self.peers(raw.peers),
-            admin: Admin {
-                key: raw.admin.key.into(),
-            },
+            admin: Admin { key: raw.admin.key },
             limits: self.limits(&raw.limits),
             chain: Chain {
                 piece_bytes: self.positive("chain.piece_bytes", raw.chain.piece_bytes),
@@ -274,6 +281,9 @@
             policy: Policy {
                 name: self.policy(&raw.policy.name),
             },
+            orders: Orders {
+                max_loading: self.positive("orders.max_loading", raw.orders.max_loading),
+            },
             shutdown: Shutdown {
                 lame_duck: raw.shutdown.lame_duck,
                 drain: raw.shutdown.drain,
@@ -352,13 +362,10 @@
                 );
                 raw.key
             }
-            (true, false) => self.key_file("peers.key_file", &raw.key_file),
+            (true, false) => self.key_file("peers.key_file", &raw.key_file).into(),
             _ => raw.key,
         };
-        Peers {
-            seeds,
-            key: key.into(),
-        }
+        Peers { seeds, key }
     }
 
     fn key_file(&mut self, key: &str, path: &str) -> String {
