--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -65,6 +65,8 @@
     pub cached_tokens: Option<u32>,
     /// Outcome, from the header, the last event or the error body.
     pub outcome: String,
+    /// Code of the error body or error event.
+    pub error_code: String,
     /// `Retry-After`.
     pub retry_after: Option<String>,
     /// Time to the first token.
@@ -178,6 +180,13 @@
         self.outcome == "not_run"
     }
 
+    /// Whether the daemon said that there is no whole answer.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        let status = self.status.is_some_and(|status| !status.is_success());
+        (status && self.cut.is_none()) || self.cut == Some(Cut::Explicit)
+    }
+
     async fn read(&mut self, response: Response<Incoming>, call: &Call, began: Instant) {
         let text = |name: &str| {
             let value = response.headers().get(name);
@@ -268,6 +277,9 @@
     }
 
     fn take_outcome(&mut self, value: &Value) {
+        if let Some(code) = value["error"]["code"].as_str() {
+            code.clone_into(&mut self.error_code);
+        }
         let places = [
             &value["outcome"],
             &value["error"]["outcome"],
