Add the control bench and poll only the servers of the region

Cause: the cost of control was not measured; each region would have polled and gossiped the servers of all regions. Change: bench/control.rs and bench/target.rs with the minimal wiring in jaystand-bench, the gauge jaystand_config_version, polling limited to data centres of the own region, a test of two regions.

--- a/crates/control/tests/gossip.rs
+++ b/crates/control/tests/gossip.rs
@@ -20,11 +20,14 @@
     Duration::from_secs(seconds)
 }
 
+/// Hosts from this index on are in another region.
+const FAR: usize = 100;
+
 fn entry(index: usize, centres: usize, incarnation: Incarnation) -> Entry {
     Entry {
         name: format!("host-{index:03}").into(),
         data_centre: format!("dc-{}", index % centres).into(),
-        region: "south".into(),
+        region: if index < FAR { "south" } else { "north" }.into(),
         address: SocketAddr::from(([10, 0, 0, 1], u16::try_from(1_000 + index).unwrap())),
         incarnation,
         sequence: 1,
@@ -268,6 +271,41 @@
     );
 }
 
+/// Guards against regions that never meet, elect each other's hosts or miss each other's drains.
+#[test]
+fn regions_exchange_marks_and_elect_on_their_own() {
+    let mut world = World::new(8, 2);
+    for index in FAR..FAR + 8 {
+        world.start(index);
+    }
+    world.run(40);
+    assert_eq!((world.live(0), world.live(FAR)), (16, 16));
+    let reporter = |index: usize| {
+        world.nodes[&index]
+            .members
+            .reporter("engine-7")
+            .map(str::to_owned)
+    };
+    assert_ne!(reporter(0), reporter(FAR));
+    assert_eq!(reporter(FAR), reporter(FAR + 3));
+    let now = world.now;
+    world
+        .nodes
+        .get_mut(&FAR)
+        .unwrap()
+        .members
+        .marks_mut()
+        .drain(now, "engine-7", true);
+    world.tell(FAR);
+    world.run(2);
+    assert!(
+        world
+            .nodes
+            .values()
+            .all(|node| node.members.marks().leaving("engine-7"))
+    );
+}
+
 /// Guards against an older `live` that beats a newer `leaving`, in every order of arrival.
 #[test]
 fn order_of_entries() {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -40,7 +40,7 @@
     task::JoinSet,
 };
 
-use crate::{config, settings::Settings, watch};
+use crate::{config, settings::Settings};
 use client::Channels;
 
 /// Time that the seeds have to answer a starting daemon before it goes on without them.
@@ -73,8 +73,6 @@
     /// A configuration is being fetched; several peers may name the same new version.
     fetching: AtomicBool,
     counts: Counts,
-    /// Whether this daemon holds the platform's watch, for the plug-in that does so.
-    role: Arc<watch::Role>,
     /// Wakes the driver when a change must not wait for the next round.
     urgent: Notify,
     /// The revision of the view, for those who follow it.
@@ -96,6 +94,7 @@
     exchanges: IntCounterVec,
     dropped: IntCounterVec,
     members: IntGauge,
+    version: IntGauge,
 }
 
 impl Peers {
@@ -105,6 +104,20 @@
         self.shared.gossip.lock().members.is_watcher()
     }
 
+    /// Whether a data centre is in this daemon's region, as far as is known.
+    #[must_use]
+    pub fn in_region(&self, data_centre: &str) -> bool {
+        let gossip = self.shared.gossip.lock();
+        let region = &gossip.members.own().region;
+        let mut inside = gossip
+            .members
+            .all()
+            .filter(|entry| entry.data_centre == data_centre)
+            .map(|entry| entry.region == *region)
+            .peekable();
+        inside.peek().is_none() || inside.any(|inside| inside)
+    }
+
     /// Whether this daemon asks the server for its load on behalf of the region.
     #[must_use]
     pub fn is_reporter(&self, server: &str) -> bool {
@@ -254,6 +267,11 @@
         )?;
         let members = IntGauge::new("jaystand_members", "Daemons that run, as known here.")?;
         metrics.register(Box::new(members.clone()))?;
+        let version = IntGauge::new(
+            "jaystand_config_version",
+            "Version of the configuration in force.",
+        )?;
+        metrics.register(Box::new(version.clone()))?;
         Ok(Self {
             sent: bytes.with_label_values(&["sent"]),
             received: bytes.with_label_values(&["received"]),
@@ -268,6 +286,7 @@
                 "reason",
             )?,
             members,
+            version,
         })
     }
 
@@ -305,12 +324,10 @@
         copies: copy::Copies::default(),
         fetching: AtomicBool::new(false),
         counts,
-        role: Arc::default(),
         urgent: Notify::new(),
         revision: Sender::new(0),
         reporters: Mutex::default(),
     });
-    kernel.provide(Arc::clone(&shared.role));
     kernel.provide(Arc::new(Peers {
         shared: Arc::clone(&shared),
     }));
--- a/crates/daemon/src/peer/driver.rs
+++ b/crates/daemon/src/peer/driver.rs
@@ -94,6 +94,8 @@
                 hash: short(document.hash().as_bytes()),
             };
             let servers = document.directory.servers.len();
+            let version = i64::try_from(document.version).unwrap_or(i64::MAX);
+            shared.counts.version.set(version);
             shared.gossip.lock().configure(config, servers);
             shared.urgent.notify_one();
         }
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -92,9 +92,14 @@
         let Some(configured) = hub.configured() else {
             continue;
         };
+        // Only the servers of the region are candidates here; other regions poll their own.
+        let region: HashSet<DataCentre> = centres(&configured)
+            .filter(|centre| peers.in_region(centre))
+            .cloned()
+            .collect();
         let engines: Vec<(ServerId, Arc<Backend>)> = (0..)
             .zip(configured.backends.iter().cloned())
-            .filter(|(_, backend)| !backend.is_service())
+            .filter(|(_, it)| !it.is_service() && region.contains(&it.server.data_centre))
             .collect();
         let answered: Vec<(DataCentre, bool)> = stream::iter(engines)
             .map(|(id, backend)| look_at(Arc::clone(&hub), Arc::clone(&peers), id, backend))
@@ -102,10 +107,19 @@
             .filter_map(std::future::ready)
             .collect()
             .await;
-        note_reach(&hub, &peers, &configured, &answered, &mut unreachable);
+        note_reach(&hub, &peers, &region, &answered, &mut unreachable);
     }
 }
 
+fn centres(configured: &Configured) -> impl Iterator<Item = &DataCentre> {
+    let centres: HashSet<&DataCentre> = configured
+        .backends
+        .iter()
+        .map(|backend| &backend.server.data_centre)
+        .collect();
+    centres.into_iter()
+}
+
 /// Asks an engine, or takes its load from the peers. Returns whether an engine that was asked has answered.
 async fn look_at(
     hub: Arc<Hub>,
@@ -139,16 +153,11 @@
 fn note_reach(
     hub: &Hub,
     peers: &Peers,
-    configured: &Configured,
+    region: &HashSet<DataCentre>,
     answered: &[(DataCentre, bool)],
     unreachable: &mut HashSet<DataCentre>,
 ) {
-    let centres: HashSet<&DataCentre> = configured
-        .backends
-        .iter()
-        .map(|backend| &backend.server.data_centre)
-        .collect();
-    for data_centre in centres {
+    for data_centre in region {
         let mut asked = answered.iter().filter(|(centre, _)| centre == data_centre);
         let reachable = peers.reach(data_centre) != Reach::Silent || asked.any(|(_, ok)| *ok);
         let changed = if reachable {
--- a/crates/standin/src/bench/mod.rs
+++ b/crates/standin/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod cluster;
 pub(crate) mod compare;
+pub(crate) mod control;
 pub(crate) mod drain;
 pub(crate) mod faults;
 pub(crate) mod measure;
@@ -12,4 +13,5 @@
 pub(crate) mod process;
 pub(crate) mod run;
 pub(crate) mod stream;
+pub(crate) mod target;
 pub(crate) mod trace;
--- a/crates/standin/src/bin/jaystand-bench.rs
+++ b/crates/standin/src/bin/jaystand-bench.rs
@@ -25,6 +25,7 @@
     Stream(bench::stream::Options),
     Faults(bench::faults::Options),
     Drain(bench::drain::Options),
+    Control(bench::control::Options),
 }
 
 fn main() -> miette::Result<ExitCode> {
@@ -48,6 +49,7 @@
         Command::Overhead(options) => bench::overhead::overhead(options).await,
         Command::Stream(options) => bench::stream::stream(options).await,
         Command::Faults(options) => bench::faults::faults(options).await,
+        Command::Control(options) => bench::control::run(options).await,
         Command::Drain(options) => bench::drain::drain(options).await,
     }
 }
