--- a/crates/control/src/claim/group.rs
+++ b/crates/control/src/claim/group.rs
@@ -147,6 +147,13 @@
         })
     }
 
+    /// Whether the attempt has anything left to claim, finish or clear up.
+    #[must_use]
+    pub fn holds(&self, ticket: Ticket) -> bool {
+        let held = |member: &Member| member.ticket == ticket && member.want != Want::Nothing;
+        self.members.iter().any(held)
+    }
+
     /// Whether no attempt is claiming, finishing or being cleared up. Dispatched requests do not count.
     #[must_use]
     pub fn is_settled(&self) -> bool {
