Keep operators' marks in a platform object

Cause: a drain lived in gossip only; after a restart of all daemons at once, such as a deployment, the drained server would have got new work again. Change: the watchers of each data centre merge the operators' marks with the object mark/drained every 5 s, by conditional update; the greater stamp wins. Conclusion: a drain older than 5 s survives the loss of every daemon while the platform answers.

--- a/crates/daemon/src/marks.rs
+++ b/crates/daemon/src/marks.rs
@@ -1,20 +1,26 @@
-//! The `marks` plug-in: tells the router which backend servers are leaving, and reads the platform's host list
-//! on the daemons that watch it.
+//! The `marks` plug-in: tells the router which backend servers are leaving. On the daemons that watch the platform,
+//! it also reads the host list and keeps the operators' marks in a platform object, so that they outlive a restart
+//! of all daemons at once.
 
 use std::{sync::Arc, time::Duration};
 
+use compact_str::CompactString;
+use jaystand_control::mark::{Cause, Mark};
 use jaystand_kernel::{
     Kernel,
     plugin::{Running, Stage, Started},
 };
-use jaystand_platform::Client;
+use jaystand_platform::{Client, Error};
+use serde::{Deserialize, Serialize};
 
 use crate::{backend::Backend, hub::Hub, peer::Peers, platform};
 
 /// Time between two looks at the view; a leaving server must get no new work after 3 s.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Time between two readings of the host list: 24 watchers at the target size make 5 reads a second.
-const HOSTS_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two readings of host list and marks: 24 watchers at the target size make 10 reads a second.
+const PLATFORM_PERIOD: Duration = Duration::from_secs(5);
+/// Kind and name of the object that holds the operators' marks.
+const OBJECT: (&str, &str) = ("mark", "drained");
 
 jaystand_kernel::register!("marks", Stage::Work, start);
 
@@ -25,7 +31,7 @@
     tasks.spawn(follow(kernel.clone(), hub, Arc::clone(&peers)));
     // Without a platform there is no host list.
     if let Some(client) = platform::client(&kernel)? {
-        tasks.spawn(read_hosts(kernel, client, peers));
+        tasks.spawn(follow_platform(kernel, client, peers));
     }
     Ok(Running::until(async move { tasks.shutdown().await }))
 }
@@ -58,16 +64,71 @@
     hub.set_leaving(backend, peers.is_leaving(name));
 }
 
-async fn read_hosts(kernel: Kernel, client: Arc<Client>, peers: Arc<Peers>) {
-    let mut ticks = kernel.timer().every(HOSTS_PERIOD);
+async fn follow_platform(kernel: Kernel, client: Arc<Client>, peers: Arc<Peers>) {
+    let mut ticks = kernel.timer().every(PLATFORM_PERIOD);
     loop {
+        if peers.is_watcher() {
+            match client.hosts().await {
+                Ok(hosts) => peers.saw_hosts(&hosts),
+                Err(error) => log::debug!("the host list could not be read: {error}"),
+            }
+            if let Err(error) = keep_drained(&client, &peers).await {
+                log::debug!("the operators' marks could not be kept: {error}");
+            }
+        }
         ticks.tick().await;
-        if !peers.is_watcher() {
-            continue;
+    }
+}
+
+/// An operator's mark as the platform keeps it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Drained {
+    server: CompactString,
+    stamp: u64,
+    leaving: bool,
+}
+
+/// Takes the operators' marks from the platform, and stores them when this daemon knows newer ones.
+pub(crate) async fn keep_drained(client: &Client, peers: &Peers) -> Result<(), Error> {
+    let (kind, name) = OBJECT;
+    let found = client.get(kind, name).await?;
+    let stored: Vec<Drained> = match &found {
+        Some(object) => serde_json::from_slice(&object.value).map_err(|_| Error::Malformed)?,
+        None => Vec::new(),
+    };
+    let stored: Vec<Mark> = stored.into_iter().map(Mark::from).collect();
+    peers.merge_marks(stored.clone());
+    let known = peers.operator_marks();
+    if known == stored {
+        return Ok(());
+    }
+    let value: Vec<Drained> = known.into_iter().map(Drained::from).collect();
+    let value = serde_json::to_vec(&value).map_err(|_| Error::Malformed)?;
+    let expected = found.map(|object| object.version);
+    // After a conflict or a lost answer the next round reads what has become of it.
+    client
+        .put(kind, name, expected.into(), value.into())
+        .await?;
+    Ok(())
+}
+
+impl From<Drained> for Mark {
+    fn from(drained: Drained) -> Self {
+        Self {
+            subject: drained.server,
+            cause: Cause::Operator,
+            stamp: drained.stamp,
+            leaving: drained.leaving,
         }
-        match client.hosts().await {
-            Ok(hosts) => peers.saw_hosts(&hosts),
-            Err(error) => log::debug!("the host list could not be read: {error}"),
+    }
+}
+
+impl From<Mark> for Drained {
+    fn from(mark: Mark) -> Self {
+        Self {
+            server: mark.subject,
+            stamp: mark.stamp,
+            leaving: mark.leaving,
         }
     }
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -19,7 +19,7 @@
 use compact_str::CompactString;
 use jaystand_control::{
     digest::{Gossip, Hot},
-    mark::Marks,
+    mark::{Cause, Mark, Marks},
     member::{Entry, Members, Reach, State},
 };
 use jaystand_kernel::{
@@ -168,6 +168,25 @@
         self.mark(|marks, now| marks.drain(now, server, leaving));
     }
 
+    /// The operators' marks, cleared ones included, in the order of names.
+    pub(crate) fn operator_marks(&self) -> Vec<Mark> {
+        let gossip = self.shared.gossip.lock();
+        let marks = gossip.members.marks().all();
+        let operators = marks.filter(|mark| mark.cause == Cause::Operator);
+        operators.cloned().collect()
+    }
+
+    /// Takes marks that were kept elsewhere; older ones than those known are ignored.
+    pub(crate) fn merge_marks(&self, marks: Vec<Mark>) {
+        self.mark(|held, now| {
+            let mut changed = false;
+            for mark in marks {
+                changed |= held.merge(now, mark);
+            }
+            changed
+        });
+    }
+
     /// Notes what a run of an engine says of itself.
     pub fn saw_engine(&self, server: &str, run: Incarnation, leaving: bool) {
         self.mark(|marks, now| marks.engine(now, server, run, leaving));
--- a/crates/daemon/src/peer/tests.rs
+++ b/crates/daemon/src/peer/tests.rs
@@ -4,7 +4,9 @@
 
 use jaystand_control::digest::{Gossip, MAX_BYTES};
 use jaystand_kernel::{Kernel, plugin::Running};
+use jaystand_platform::Client;
 use jaystand_sheet::Document;
+use jaystand_standin::platform;
 use jaystand_wire::peer::raw;
 use prometheus::Registry;
 use proptest::prelude::*;
@@ -14,6 +16,7 @@
 use super::{Channels, Counts, Deployment, Peers, copy, own_entry};
 use crate::{
     config::Store,
+    marks::keep_drained,
     settings::{Raw, Settings},
 };
 
@@ -167,6 +170,27 @@
     .await;
 }
 
+/// Guards against a drain that is forgotten when all daemons restart at once.
+#[tokio::test]
+async fn a_drain_outlives_all_daemons() {
+    let platform = platform::start(platform::Settings::default()).expect("a platform");
+    let settings_of_client = jaystand_platform::Settings::new(platform.address(), 1_000.0);
+    let client = Client::new(settings_of_client, &Registry::new()).expect("a fresh registry");
+    let before = start(settings("a", &[])).await;
+    before.peers.drain("e", true);
+    keep_drained(&client, &before.peers).await.expect("stored");
+    drop(before);
+    let after = start(settings("a", &[])).await;
+    keep_drained(&client, &after.peers).await.expect("read");
+    assert!(after.peers.is_drained("e"));
+    after.peers.drain("e", false);
+    keep_drained(&client, &after.peers).await.expect("stored");
+    let last = start(settings("b", &[])).await;
+    last.peers.drain("e", true);
+    keep_drained(&client, &last.peers).await.expect("read");
+    assert!(!last.peers.is_drained("e"), "the later return wins");
+}
+
 /// Guards against messages of other deployments, wrong keys and malformed or stale messages that take effect.
 #[tokio::test]
 async fn messages_that_do_not_belong_are_dropped_and_counted() {
