--- a/crates/daemon/src/marks.rs
+++ b/crates/daemon/src/marks.rs
@@ -17,8 +17,9 @@
 
 /// Time between two looks at the view; a leaving server must get no new work after 3 s.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Time between two readings of host list and marks: 24 watchers at the target size make 10 reads a second.
-const PLATFORM_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two readings of host list and marks. A server that the list calls leaving must get no new work
+/// after 3 s; 24 watchers at the target size make 24 reads a second.
+const PLATFORM_PERIOD: Duration = Duration::from_secs(2);
 /// Kind and name of the object that holds the operators' marks.
 const OBJECT: (&str, &str) = ("mark", "drained");
 
