Place prompts by their largest level instead of the shallowest cold one

Cause: while a team's system prompt was not hot enough to be spread, placement was anchored at that level, so that all documents of the team went to one server: 24 documents of 8 blocks there against a cache of 128 blocks. The cache thrashed, and what overflowed was computed on other servers. Ruled out: eviction by long work (2 % of requests) and the crash (one engine of 20). Change: placement and heat start at the deepest level that adds at least as much text as all levels above it. Levels above are cheap to hold everywhere; no state is needed, so restarted daemons agree.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -56,7 +56,9 @@
         self.typical.observe(predicted);
         let seconds = self.service_seconds(&request, predicted);
         let scale = self.scale(&request);
-        self.heat.add(now, request.chain.levels(), seconds, scale);
+        let chain = &request.chain;
+        self.heat
+            .add(now, &chain.levels()[chain.base()..], seconds, scale);
         self.timers.push(request.deadline, Due::Deadline(id));
         self.sequence += 1;
         let flight = Flight {
--- a/crates/policy/src/candidates.rs
+++ b/crates/policy/src/candidates.rs
@@ -178,7 +178,7 @@
         // A prompt that is hot as a whole is spread by request.
         let mut anchor = query.request.id;
         let mut narrowed = 0;
-        for level in levels {
+        for level in &levels[query.request.chain.base()..] {
             let servers = self.heat.servers(query.now, level, query.scale);
             if servers < 2 {
                 anchor = level.hash;
--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -75,6 +75,20 @@
         &self.levels
     }
 
+    /// Index of the level from which placement starts: the deepest one that adds at least as much text as all levels
+    /// above it. What lies above is cheap to hold on many servers, whereas placing by it would put everything below,
+    /// such as all documents under one system prompt, on the same few servers.
+    pub(crate) fn base(&self) -> usize {
+        let mut base = 0;
+        for (index, pair) in self.levels.windows(2).enumerate() {
+            let (above, level) = (pair[0].end, pair[1].end);
+            if level - above >= above {
+                base = index + 1;
+            }
+        }
+        base
+    }
+
     fn push(&mut self, salt: Salt, piece: &[u8]) {
         if self.levels.len() == MAX_LEVELS {
             return;
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -190,7 +190,8 @@
         }
         let scale = self.scale(request);
         let hot = |level: &&Level| self.heat.servers(now, level, scale) > 1;
-        let anchor = levels.iter().take_while(hot).count();
+        let base = request.chain.base();
+        let anchor = base + levels[base..].iter().take_while(hot).count();
         let holder = Holder {
             server,
             epoch: self.backends[server as usize].epoch,
