Put the quiet windows of a comparison side by side

Cause: the window with long work followed a crest, a crash and the shift of the hot set, so that its urgent p99 held their after-effects, and the head-of-line figure with it.

Change: quiet, quiet with long work and quiet with long work and slowed servers follow each other; crests, shift, crash and restart come after.

Conclusion: the windows differ in what their names say.

--- a/crates/standin/src/bench/measure.rs
+++ b/crates/standin/src/bench/measure.rs
@@ -32,7 +32,7 @@
     ),
     (
         "head-of-line",
-        "urgent first-token p99 in the quiet window with long work minus that in the quiet window without",
+        "urgent first-token p99 in the quiet window with long work minus that in the quiet window just before, without",
     ),
     (
         "crest goodput",
--- a/crates/standin/src/bench/run.rs
+++ b/crates/standin/src/bench/run.rs
@@ -24,7 +24,7 @@
 const SLOW_ONE_IN: usize = 8;
 const CRASH_DOWN: Duration = Duration::from_millis(300);
 /// The slowed engines change after this long.
-const SLOW_MOMENT: Duration = Duration::from_millis(700);
+const SLOW_MOMENT: Duration = Duration::from_millis(800);
 
 /// What one run showed.
 pub(crate) struct Outcome {
@@ -109,10 +109,6 @@
 async fn script(cluster: Arc<Cluster>, began: Instant, seed: u64) -> io::Result<bool> {
     let engines = &cluster.fleet.engines;
     let chosen = usize::try_from(seed).unwrap_or(0) % engines.len();
-    tokio::time::sleep_until(began + Window::Settle.bounds().0).await;
-    engines[chosen].crash().await;
-    tokio::time::sleep(CRASH_DOWN).await;
-    engines[chosen].restart()?;
     let (from, until) = Window::Slow.bounds();
     let mut moment = 0;
     let mut at = from;
@@ -126,6 +122,10 @@
     for engine in engines {
         engine.set_faults(Faults::default());
     }
+    tokio::time::sleep_until(began + Window::Settle.bounds().0).await;
+    engines[chosen].crash().await;
+    tokio::time::sleep(CRASH_DOWN).await;
+    engines[chosen].restart()?;
     let daemon = chosen % DAEMONS;
     let stopped = cluster.stop(daemon).await.is_some();
     cluster.restart(daemon).await?;
--- a/crates/standin/src/bench/trace.rs
+++ b/crates/standin/src/bench/trace.rs
@@ -34,42 +34,43 @@
 const OPEN_CONVERSATIONS: usize = 64;
 const KIND_LONG: usize = 3;
 
-/// Windows of a run. Each starts where the one before it ends.
+/// Windows of a run. Each starts where the one before it ends. The quiet windows follow each other without a crest,
+/// a crash or a shift between them, so that they differ in what their names say only.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Window {
     /// Not measured, but for the tokens.
     Warm,
     /// Quiet, without long work and slowed servers.
     Clean,
-    /// First crest.
-    FirstCrest,
-    /// The hot set shifts, an engine crashes and returns empty, long work arrives.
-    Settle,
     /// Quiet, with long work.
     Long,
     /// Quiet, with long work and slowed servers.
     Slow,
-    /// A daemon restarts.
-    Restart,
-    /// Second crest, with long work.
+    /// First crest, with long work.
+    FirstCrest,
+    /// The hot set shifts, an engine crashes and returns empty, a daemon restarts.
+    Settle,
+    /// Second crest.
     SecondCrest,
     /// Quiet.
     Tail,
 }
 
 /// Windows and their ends in milliseconds.
-pub(crate) const WINDOWS: [(Window, u64); 9] = [
+pub(crate) const WINDOWS: [(Window, u64); 8] = [
     (Window::Warm, 1500),
-    (Window::Clean, 3300),
-    (Window::FirstCrest, 4300),
-    (Window::Settle, 5200),
-    (Window::Long, 6700),
-    (Window::Slow, 8200),
-    (Window::Restart, 8600),
-    (Window::SecondCrest, 9600),
+    (Window::Clean, 3100),
+    (Window::Long, 4800),
+    (Window::Slow, 6400),
+    (Window::FirstCrest, 7400),
+    (Window::Settle, 8500),
+    (Window::SecondCrest, 9500),
     (Window::Tail, 10_000),
 ];
 
+/// Long work arrives until this long after its window has started; it runs for seconds.
+const LONG_ARRIVALS: Duration = Duration::from_millis(2500);
+
 /// One arrival.
 #[derive(Clone, Debug)]
 pub(crate) struct Arrival {
@@ -173,10 +174,9 @@
         )]
         let long = (times.len() as f64 * LONG_SHARE).round() as u32;
         // Long work starts after the first windows, so that these show the time without it.
-        let (from, _) = Window::Settle.bounds();
-        let (_, until) = Window::Long.bounds();
+        let (from, _) = Window::Long.bounds();
         for index in 0..long {
-            times.push((from + until.saturating_sub(from) * index / long, true));
+            times.push((from + LONG_ARRIVALS * index / long, true));
         }
         times.sort_by_key(|(at, _)| *at);
         times
--- a/crates/standin/src/bench/trace/tests.rs
+++ b/crates/standin/src/bench/trace/tests.rs
@@ -37,7 +37,7 @@
     assert!((share - LONG_SHARE).abs() < 0.002, "{share}");
     let early = load
         .iter()
-        .filter(|arrival| arrival.is_long() && arrival.window < Window::Settle);
+        .filter(|arrival| arrival.is_long() && arrival.window < Window::Long);
     assert_eq!(
         early.count(),
         0,
