--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -19,7 +19,7 @@
 use compact_str::CompactString;
 use jaystand_control::{
     digest::{Gossip, Hot},
-    mark::Marks,
+    mark::{Cause, Mark, Marks},
     member::{Entry, Members, Reach, State},
 };
 use jaystand_kernel::{
@@ -94,6 +94,7 @@
     exchanges: IntCounterVec,
     dropped: IntCounterVec,
     members: IntGauge,
+    version: IntGauge,
 }
 
 impl Peers {
@@ -103,6 +104,20 @@
         self.shared.gossip.lock().members.is_watcher()
     }
 
+    /// Whether a data centre is in this daemon's region, as far as is known.
+    #[must_use]
+    pub fn in_region(&self, data_centre: &str) -> bool {
+        let gossip = self.shared.gossip.lock();
+        let region = &gossip.members.own().region;
+        let mut inside = gossip
+            .members
+            .all()
+            .filter(|entry| entry.data_centre == data_centre)
+            .map(|entry| entry.region == *region)
+            .peekable();
+        inside.peek().is_none() || inside.any(|inside| inside)
+    }
+
     /// Whether this daemon asks the server for its load on behalf of the region.
     #[must_use]
     pub fn is_reporter(&self, server: &str) -> bool {
@@ -153,6 +168,25 @@
         self.mark(|marks, now| marks.drain(now, server, leaving));
     }
 
+    /// The operators' marks, cleared ones included, in the order of names.
+    pub(crate) fn operator_marks(&self) -> Vec<Mark> {
+        let gossip = self.shared.gossip.lock();
+        let marks = gossip.members.marks().all();
+        let operators = marks.filter(|mark| mark.cause == Cause::Operator);
+        operators.cloned().collect()
+    }
+
+    /// Takes marks that were kept elsewhere; older ones than those known are ignored.
+    pub(crate) fn merge_marks(&self, marks: Vec<Mark>) {
+        self.mark(|held, now| {
+            let mut changed = false;
+            for mark in marks {
+                changed |= held.merge(now, mark);
+            }
+            changed
+        });
+    }
+
     /// Notes what a run of an engine says of itself.
     pub fn saw_engine(&self, server: &str, run: Incarnation, leaving: bool) {
         self.mark(|marks, now| marks.engine(now, server, run, leaving));
@@ -252,6 +286,11 @@
         )?;
         let members = IntGauge::new("jaystand_members", "Daemons that run, as known here.")?;
         metrics.register(Box::new(members.clone()))?;
+        let version = IntGauge::new(
+            "jaystand_config_version",
+            "Version of the configuration in force.",
+        )?;
+        metrics.register(Box::new(version.clone()))?;
         Ok(Self {
             sent: bytes.with_label_values(&["sent"]),
             received: bytes.with_label_values(&["received"]),
@@ -266,6 +305,7 @@
                 "reason",
             )?,
             members,
+            version,
         })
     }
 
