--- a/crates/standin/src/bench/cluster.rs
+++ b/crates/standin/src/bench/cluster.rs
@@ -199,7 +199,7 @@
     }
 }
 
-/// SplitMix64's finaliser: the same sequence in every run, without the regularity of a counter.
+/// `SplitMix64`'s finaliser: the same sequence in every run, without the regularity of a counter.
 fn scatter(turn: usize) -> usize {
     let mut mixed = (turn as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
