--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -1,25 +1,22 @@
 //! Drives one request: carries out the router's orders, runs the attempts and yields the caller's answer.
 
+mod message;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Uri, header};
-use jaystand_policy::{Attempt as Number, Event, Failure, Refusal, Salt};
+use hyper::{HeaderMap, Method, Uri};
+use jaystand_policy::{Attempt as Number, Event, Failure, Refusal};
 use jaystand_sheet::Rule;
 use jaystand_types::{Incarnation, Model, Moment, Outcome, RepeatRule, TeamId, Urgency};
-use jaystand_wire::{
-    chat,
-    engine::{self, Position, RequestHead, ResponseHead},
-    sse,
-};
+use jaystand_wire::{engine::ResponseHead, sse};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 use tracing::Span;
 
 use crate::{
     backend::Backend,
-    exchange::{Answer, Attempt, Expected, Plan, Signal},
+    exchange::{Answer, Attempt, Plan, Signal},
     hub::{Dispatch, Handle, Order},
     metrics::Metrics,
     stream::{Assembly, Fault, Step},
@@ -264,95 +261,6 @@
         }
     }
 
-    /// Where the attempt takes the stream up; `None` when it cannot.
-    fn position(&self, dispatch: &Dispatch) -> Option<Position> {
-        let next = self.assembly.next_offset();
-        if next == 0 {
-            return Some(Position::Start);
-        }
-        let source = self.source.backend.as_ref();
-        let same = source.is_some_and(|source| Arc::ptr_eq(source, &dispatch.backend))
-            && dispatch.backend.incarnation() == Some(self.source.incarnation);
-        if dispatch.resume && same {
-            return Some(Position::After(next - 1));
-        }
-        self.assembly.continuation()?;
-        Some(Position::Continue(next))
-    }
-
-    fn build(
-        &self,
-        dispatch: &Dispatch,
-        position: Position,
-    ) -> Option<(Request<Full<Bytes>>, Expected)> {
-        let backend = &dispatch.backend;
-        let request = self.handle.request;
-        match &self.job {
-            Job::Chat {
-                team,
-                model,
-                original,
-                body,
-                headers,
-            } => {
-                let weights_version = backend.weights_version();
-                let salt = Salt::new(team, model, "", &weights_version).render();
-                let head = RequestHead {
-                    request,
-                    expect_incarnation: backend.incarnation(),
-                    weights_version: &weights_version,
-                    cache_salt: &salt,
-                    priority: dispatch.priority,
-                    deadline: self.time_left(),
-                    position,
-                };
-                let body = match position {
-                    Position::Continue(_) => {
-                        let parsed = chat::Request::try_from(&original[..]).ok()?;
-                        parsed.to_engine(self.assembly.continuation()).into()
-                    }
-                    _ => body.clone(),
-                };
-                let incarnation = match position {
-                    Position::After(_) => Some(self.source.incarnation),
-                    _ => None,
-                };
-                let mut message = Request::new(Full::new(body));
-                *message.method_mut() = Method::POST;
-                *message.uri_mut() = backend.uri(engine::CHAT_PATH);
-                *message.headers_mut() = headers.clone();
-                head.write(message.headers_mut());
-                let expected = Expected {
-                    request,
-                    incarnation,
-                    weights_version,
-                };
-                Some((message, expected))
-            }
-            Job::Service {
-                method,
-                path,
-                headers,
-                body,
-            } => {
-                let mut message = Request::new(Full::new(body.clone()));
-                *message.method_mut() = method.clone();
-                *message.uri_mut() = backend.uri(path.path_and_query()?.as_str());
-                *message.headers_mut() = headers.clone();
-                let id = jaystand_types::render_request_id(request);
-                let id = header::HeaderValue::from_str(&id).ok()?;
-                let name = jaystand_wire::header::REQUEST_ID;
-                message.headers_mut().insert(name, id);
-                let expected = Expected {
-                    request,
-                    incarnation: None,
-                    weights_version: "".into(),
-                };
-                Some((message, expected))
-            }
-        }
-    }
-
     fn take(&mut self, index: usize, signal: Signal) -> Option<Output> {
         let number = self.attempts[index].number;
         match signal {
