--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -161,14 +161,14 @@
     /// A server on probation that this request may probe. Nothing else would bring it back: what it held has
     /// moved to others.
     pub(crate) fn probe(&self, query: &Query<'_>) -> Option<ServerId> {
-        if query.request.repeat != RepeatRule::Repeatable {
+        if query.request.repeat != RepeatRule::Repeatable || query.shape.long {
             return None;
         }
         let urgent = query.shape.class == 0;
         let waits = |server: &&ServerId| {
             let backend = self.backends.get(**server as usize);
             backend.is_some_and(|backend| {
-                let idle = backend.in_flight == 0 && backend.queue.is_empty();
+                let idle = backend.awaiting == 0 && backend.queue.is_empty();
                 idle && backend.eligible() && backend.health.wants_probe(query.now, urgent)
             })
         };
