Measure control in a region of the target size

Traffic does not grow in a line: a daemon makes the same number of exchanges whatever the size, a lone pair half as many. Change: 72 daemons are a measured point.

--- a/crates/standin/src/bench/control.rs
+++ b/crates/standin/src/bench/control.rs
@@ -38,7 +38,8 @@
     teams: 32,
     changes_per_s: 0.0,
 };
-const DAEMONS: [usize; 4] = [2, 4, 8, 16];
+/// 72 daemons are a region at the target size.
+const DAEMONS: [usize; 5] = [2, 4, 8, 16, 72];
 const SERVERS: [usize; 4] = [10, 100, 300, 1_200];
 const TEAMS: [usize; 3] = [8, 80, 320];
 /// The target is 1,100 changes a day, 0.013 a second.
--- a/crates/standin/src/bench/target.rs
+++ b/crates/standin/src/bench/target.rs
@@ -7,8 +7,7 @@
 
 use super::control::{Point, Shape, USUAL, document, float};
 
-/// Daemons and servers of a region at the target size, and the servers and teams of the whole directory.
-const REGION_DAEMONS: f64 = 72.0;
+/// Daemons of a region at the target size, and the servers and teams of the whole directory.
 const DIRECTORY: Shape = Shape {
     daemons: 72,
     servers: 1_200,
@@ -24,7 +23,7 @@
 /// Figures of a daemon at the target size.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Summary {
-    /// Sent and received: gossip at 300 servers extrapolated over daemons, and copies for the sheet changes.
+    /// Sent and received: gossip as measured in a region of the target size, and copies for the sheet changes.
     bytes_per_s: f64,
     copies_per_s: f64,
     copy_bytes: f64,
@@ -35,17 +34,19 @@
     platform_calls_per_daemon: f64,
 }
 
-/// Extrapolates to the target size.
+/// Derives the figures at the target size.
 pub(crate) fn summary(points: &[Point]) -> Summary {
     let still = |point: &&Point| point.shape.changes_per_s == 0.0;
     let usual =
         |point: &&Point| point.shape.servers == USUAL.servers && point.shape.teams == USUAL.teams;
     let total = |point: &Point| point.sent_per_s + point.received_per_s;
-    let daemons = |read: fn(&Point) -> f64| -> Vec<(f64, f64)> {
-        let points = points.iter().filter(still).filter(usual);
-        points
-            .map(|point| (float(point.shape.daemons), read(point)))
-            .collect()
+    // Traffic does not grow in a line: each daemon makes the same number of exchanges, and digests are bounded.
+    // So the region of the target size is measured as it is.
+    let region = |read: fn(&Point) -> f64| {
+        let mut region = points.iter().filter(still).filter(usual);
+        region
+            .find(|point| point.shape.daemons == DIRECTORY.daemons)
+            .map_or(f64::NAN, read)
     };
     let changes: Vec<(f64, f64)> = points
         .iter()
@@ -58,21 +59,17 @@
     let (_, per_change) = line(&changes);
     let copy_bytes = deflated(DIRECTORY);
     let copies_per_s = per_change * DIRECTORY.changes_per_s * copy_bytes / deflated(USUAL);
-    let gossip = at(
-        &daemons(|point| point.sent_per_s + point.received_per_s),
-        REGION_DAEMONS,
-    );
+    let gossip = region(|point| point.sent_per_s + point.received_per_s);
     Summary {
         bytes_per_s: gossip + copies_per_s,
         copies_per_s,
         copy_bytes,
         core_percent: greatest(|point| point.core_percent),
         resident_mib: greatest(|point| point.resident_mib),
-        in_force_s: at(&daemons(median_in_force), REGION_DAEMONS),
-        platform_calls_per_daemon: at(
-            &daemons(|point| point.platform_calls_per_s / float(point.shape.daemons)),
-            REGION_DAEMONS,
-        ),
+        in_force_s: region(most_in_force),
+        platform_calls_per_daemon: region(|point| {
+            point.platform_calls_per_s / float(point.shape.daemons)
+        }),
     }
 }
 
@@ -116,10 +113,8 @@
     }
 }
 
-fn median_in_force(point: &Point) -> f64 {
-    let mut times = point.in_force_s.clone();
-    times.sort_by(f64::total_cmp);
-    times.get(times.len() / 2).copied().unwrap_or(0.0)
+fn most_in_force(point: &Point) -> f64 {
+    point.in_force_s.iter().copied().fold(0.0, f64::max)
 }
 
 fn deflated(shape: Shape) -> f64 {
@@ -138,17 +133,6 @@
     encoder.finish().map_or(0.0, |copy| float(copy.len()))
 }
 
-/// The value of the fitted line, but no less than the greatest measured value.
-fn at(points: &[(f64, f64)], x: f64) -> f64 {
-    let (start, slope) = line(points);
-    let measured = points.iter().map(|(_, y)| *y).fold(0.0, f64::max);
-    if slope > 0.0 {
-        (start + slope * x).max(measured)
-    } else {
-        measured
-    }
-}
-
 /// Least squares: start and slope.
 fn line(points: &[(f64, f64)]) -> (f64, f64) {
     let count = float(points.len()).max(1.0);
