Leave a quarter of the call budget to writes; count refusals by reason

Cause: near the budget, claims were refused although calls were left, because their reads kept half of the budget free.

Change: reads of a yielding client leave a quarter. The orders bench prints what callers were told by reason, and its default rate of 12 orders/s suits the daemons' default budgets.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -27,8 +27,9 @@
 /// Names are short; the bound keeps a faulty caller from sending an unbounded request line.
 const MAX_NAME_BYTES: usize = 200;
 
-/// Share of the budget that the reads of a yielding client leave to other calls.
-const YIELDED_SHARE: f64 = 0.5;
+/// Share of the budget that the reads of a yielding client leave to other calls. In one run each, half recorded 735 of
+/// 2,000 orders under an overload and a quarter 696; near the budget, half refused 312 of 1,200 orders, a quarter 249.
+const YIELDED_SHARE: f64 = 0.25;
 
 /// Client of the object API. Clones share connections and budget.
 #[derive(Clone)]
@@ -84,7 +85,7 @@
         })
     }
 
-    /// A clone whose reads leave half of the budget to its writes and to the other calls of the process. For work
+    /// A clone whose reads leave a quarter of the budget to its writes and to the other calls of the process. For work
     /// that reads before it writes and may be refused: without a share for the writes, an overload would spend the
     /// whole budget on reads that lead to nothing.
     #[must_use]
--- a/crates/standin/src/bench/orders.rs
+++ b/crates/standin/src/bench/orders.rs
@@ -42,7 +42,7 @@
     /// Seed of the orders and faults.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Orders a second. At 12, six daemons stay within their default budgets of platform calls.
+    /// Orders a second. Twelve take about 51 of the 60 platform calls a second that six daemons may make by default.
     #[arg(long, default_value_t = 12.0)]
     rate: f64,
 }
@@ -64,6 +64,8 @@
     wrongly_not_run: usize,
     done_without_execution: usize,
     differing_answers: usize,
+    /// What the callers were told, other than the answer.
+    reasons: BTreeMap<String, usize>,
     examples: Vec<String>,
 }
 
@@ -232,6 +234,9 @@
             } else {
                 self.cut += 1;
             }
+            if !answer.complete() {
+                *self.reasons.entry(reason(answer)).or_default() += 1;
+            }
             // The first sending may have run while the second was refused, so the request counts, not the order.
             if answer.not_run() && requests.contains(&answer.request_id) {
                 self.wrongly_not_run += 1;
@@ -291,8 +296,23 @@
         for (name, count) in counts {
             println!("{name:<24} {count}");
         }
+        for (reason, count) in &self.reasons {
+            println!("{count:>6} {reason}");
+        }
         for example in &self.examples {
             println!("example: {example}");
         }
     }
 }
+
+/// The error message of an answer.
+fn reason(answer: &Answer) -> String {
+    let body: serde_json::Value = serde_json::from_str(&answer.text).unwrap_or_default();
+    let message = body["error"]["message"].as_str();
+    let outcome = if answer.outcome.is_empty() {
+        "no outcome"
+    } else {
+        &answer.outcome
+    };
+    format!("{outcome}: {}", message.unwrap_or("the connection was cut"))
+}
