Let an undrained server get work again

Cause: the marks plug-in took a server that it had itself marked as leaving, because an operator drained it, for a sign from the server. When the operator cleared the mark, the plug-in told the other daemons that this run of the engine leaves, so that an undrained server stayed out until the engine restarted, and a plain service for good.

Change: answers that say that a server leaves are noted apart from marks passed on to the router.

Before: the admin API's drain test waited 60 s in vain for the undrained server. After: the file's 8 tests pass in 1.3 s, and the daemon's other tests pass (cargo test -p jaystand-daemon).

Conclusion: a drain can be undone.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -41,6 +41,8 @@
     incarnation: AtomicU64,
     weights_version: ArcSwapOption<CompactString>,
     leaving: AtomicBool,
+    /// Its own answer said that it leaves, and the other daemons have not been told.
+    said_leaving: AtomicBool,
 }
 
 /// The backend servers of one configuration, by server id.
@@ -71,6 +73,7 @@
             incarnation: AtomicU64::new(0),
             weights_version: ArcSwapOption::empty(),
             leaving: AtomicBool::new(false),
+            said_leaving: AtomicBool::new(false),
         }
     }
 
@@ -144,6 +147,16 @@
         self.leaving.swap(leaving, Ordering::Relaxed) != leaving
     }
 
+    /// Whether an answer of the server said that it leaves and nobody has been told.
+    pub(crate) fn said_leaving(&self) -> bool {
+        self.said_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether there is such an answer to tell of.
+    pub(crate) fn set_said_leaving(&self, said: bool) {
+        self.said_leaving.store(said, Ordering::Relaxed);
+    }
+
     /// The URI of a path on the server.
     pub(crate) fn uri(&self, path: &str) -> Uri {
         let built = Uri::builder()
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -307,6 +307,7 @@
 
     /// Notes a sign that a backend server is leaving.
     pub(crate) fn saw_leaving(&self, backend: &Arc<Backend>) {
+        backend.set_said_leaving(true);
         self.hub.set_leaving(backend, true);
     }
 
