Add the admin API

Cause: operators could not read or change anything but health and metrics; every path under /v1 was 404.

Change: status, configuration (read, replace, check, compare, history, rollback), backend servers with drain and undrain, hosts, explain, requests and log level, each behind the admin key. A replacement names its predecessor with If-Match, is checked whole (422 with every fault) and loses to a faster operator with 409 and both differences. A daemon remembers the configuration that each peer named last, so that the state of the other hosts can be shown. Faults and changes have a report form that the command line shares.

Hosts that this daemon has not exchanged a digest with are shown without a configuration.

--- a/crates/control/src/digest.rs
+++ b/crates/control/src/digest.rs
@@ -114,6 +114,7 @@
     marks_sent: u64,
     loads_sent: Moment,
     met: Moment,
+    config: Config,
     hot: Vec<Hot>,
     /// The peer's own entry is outdated and it should hear that.
     contradict: Option<Entry>,
@@ -149,6 +150,13 @@
         self.config
     }
 
+    /// The configuration that a peer named in its newest digest, and when it was met; none before the first one.
+    #[must_use]
+    pub fn config_of(&self, peer: &str) -> Option<(Config, Moment)> {
+        let peer = self.peers.get(peer).filter(|peer| peer.round > 0)?;
+        Some((peer.config, peer.met))
+    }
+
     /// Names the own hot prefix heads, the hottest first.
     pub fn set_hot(&mut self, mut hot: Vec<Hot>) {
         hot.truncate(MAX_HOT);
@@ -238,6 +246,9 @@
         if digest.round.saturating_add(ROUND_WINDOW) <= peer.round {
             return Err(Stale);
         }
+        if digest.round >= peer.round {
+            peer.config = digest.config;
+        }
         peer.round = peer.round.max(digest.round);
         peer.met = now;
         peer.hot = digest.hot;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -21,7 +21,7 @@
 use miette::miette;
 use tokio::net::TcpListener;
 
-use crate::{Bound, hub::Hub, metrics::Metrics, settings::Settings};
+use crate::{Bound, api, hub::Hub, metrics::Metrics, settings::Settings};
 
 /// An answer of the admin listener.
 pub type Answer = Response<Full<Bytes>>;
@@ -72,20 +72,11 @@
         "/livez" => text(StatusCode::OK, "ok\n"),
         "/readyz" => readiness(kernel),
         "/metrics" => metrics(kernel),
-        path if path.starts_with("/v1/") => api(kernel, request).await,
+        path if path.starts_with("/v1/") => api::answer(kernel, request).await,
         _ => text(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
 
-/// The admin API under `/v1`. None of its routes exist yet.
-#[allow(
-    clippy::unused_async,
-    reason = "the routes of the admin API wait for the platform and for bodies"
-)]
-async fn api(_kernel: &Kernel, _request: Request<Incoming>) -> Answer {
-    text(StatusCode::NOT_FOUND, "not found\n")
-}
-
 fn readiness(kernel: &Kernel) -> Answer {
     let reasons = kernel.lifecycle().not_ready();
     if reasons.is_empty() {
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -39,7 +39,8 @@
     let request = chat::Request::try_from(&body[..]).map_err(|error| bad_request(&error))?;
     let kind = request_kind(&call.head.headers)?;
     let model = request.model.as_ref();
-    let shape = shape(entry, &call, &request);
+    let piece_bytes = entry.settings.chain.piece_bytes;
+    let shape = shape(piece_bytes, &call.configured, &call.team, &request);
     let team = call.team.clone();
     let find = |configured: &Configured| find_rule(configured, &team, kind.as_deref(), model);
     let found = find(&call.configured)?;
@@ -300,7 +301,7 @@
     Problem::request(StatusCode::BAD_REQUEST, "unknown_kind", message).param(Some("x-request-kind"))
 }
 
-fn find_rule(
+pub(crate) fn find_rule(
     configured: &Configured,
     team: &str,
     kind: Option<&str>,
@@ -326,15 +327,20 @@
     Problem::request(StatusCode::NOT_FOUND, "model_not_found", message).param(Some("model"))
 }
 
-fn shape(entry: &Entry, call: &Call, request: &chat::Request<'_>) -> Shape {
+pub(crate) fn shape(
+    piece_bytes: usize,
+    configured: &Configured,
+    team: &str,
+    request: &chat::Request<'_>,
+) -> Shape {
     let model = request.model.as_ref();
-    let weights_version = call.configured.active.weights_version(model);
-    let salt = Salt::new(&call.team, model, "", &weights_version);
+    let weights_version = configured.active.weights_version(model);
+    let salt = Salt::new(team, model, "", &weights_version);
     let messages = request.messages.iter();
     let segments = messages.map(|message| message.get().as_bytes());
     let bytes: usize = request.messages.iter().map(|it| it.get().len()).sum();
     Shape {
-        chain: Chain::new(salt, entry.settings.chain.piece_bytes, segments),
+        chain: Chain::new(salt, piece_bytes, segments),
         prompt_tokens: u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
         max_tokens: request.max_tokens,
     }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -42,7 +42,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) hub: Arc<Hub>,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) memory: Memory,
+    pub(crate) memory: Arc<Memory>,
     pub(crate) lifecycle: Lifecycle,
     /// Absent when the daemon runs without a platform.
     pub(crate) claims: Option<Arc<Claims>>,
--- a/crates/daemon/src/entry/listen.rs
+++ b/crates/daemon/src/entry/listen.rs
@@ -48,10 +48,12 @@
         .await
         .map_err(|error| miette!("listen.callers: cannot listen on {address}: {error}"))?;
     announce(&kernel, &listener)?;
+    let memory = Arc::new(Memory::default());
+    kernel.provide(Arc::clone(&memory));
     let entry = Arc::new(Entry {
         hub: kernel.require::<Hub>()?,
         metrics: kernel.require::<Metrics>()?,
-        memory: Memory::default(),
+        memory,
         lifecycle: kernel.lifecycle().clone(),
         claims: kernel.require::<Claims>().ok(),
         background: TaskTracker::new(),
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwapOption;
 use jaystand_kernel::timer::Timer;
 use jaystand_policy::{
-    Action, Attempt, Event, Fleet, Refusal, Request, Router, load, server, team,
+    Action, Attempt, Candidate, Event, Fleet, Refusal, Request, Router, load, server, team,
 };
 use jaystand_types::{Moment, Outcome, RequestId, ServerId};
 use parking_lot::Mutex;
@@ -160,6 +160,22 @@
         })
     }
 
+    /// The candidates for a request that is not submitted; none when the configuration has changed meanwhile.
+    pub(crate) fn explain(
+        &self,
+        configured: &Arc<Configured>,
+        request: &Request,
+    ) -> Option<Vec<Candidate>> {
+        let inner = self.inner.lock();
+        let current = inner.configured.as_ref()?;
+        Arc::ptr_eq(current, configured).then(|| inner.router.explain(self.timer.now(), request))
+    }
+
+    /// Attempts of this daemon in flight on a backend server.
+    pub(crate) fn attempts(&self, server: ServerId) -> u32 {
+        self.inner.lock().router.in_flight(server)
+    }
+
     /// Tells the router an event.
     pub(crate) fn tell(&self, event: Event) {
         self.handle(&mut self.inner.lock(), event);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The router daemon: plug-ins that connect sockets to the decision crates.
 
 pub mod admin;
+mod api;
 mod backend;
 mod chat;
 pub mod claim;
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// What is remembered of a request of any team, for operators.
+    pub(crate) fn find(&self, request: RequestId) -> Option<Record> {
+        self.0.lock().records.get(&request).cloned()
+    }
+
     /// What is remembered of a team's request; those of other teams are not shown.
     pub(crate) fn get(&self, request: RequestId, team: &TeamId) -> Option<Record> {
         let inner = self.0.lock();
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -18,7 +18,7 @@
 
 use compact_str::CompactString;
 use jaystand_control::{
-    digest::{Gossip, Hot},
+    digest::{Config, Gossip, Hot},
     mark::{Cause, Mark, Marks},
     member::{Entry, Members, Reach, State},
 };
@@ -235,6 +235,18 @@
         gossip.members.all().cloned().collect()
     }
 
+    /// The configuration of a daemon as its newest digest named it, and the age of that digest.
+    #[must_use]
+    pub fn config_of(&self, host: &str) -> Option<(Config, Duration)> {
+        let now = self.shared.timer.now();
+        let gossip = self.shared.gossip.lock();
+        if host == gossip.members.own().name {
+            return Some((gossip.config(), Duration::ZERO));
+        }
+        let (config, met) = gossip.config_of(host)?;
+        Some((config, now.saturating_sub(met)))
+    }
+
     /// Follows changes of members and marks; the value only tells versions of the view apart.
     #[must_use]
     pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use chain::{Chain, Level, MAX_LEVELS, Salt};
 pub use event::{Action, Attempt, Event, Failure, Refusal};
+pub use placement::{Candidate, Source};
 pub use request::Request;
 pub use router::Router;
 pub(crate) use router::{Settings, Strategy};
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod hash;
 mod parse;
+mod report;
 mod rule;
 
 pub use column::Column;
@@ -16,4 +17,5 @@
 pub use document::Document;
 pub use fault::{Fault, Faults, Part, Place, Problem};
 pub use parse::Sheet;
+pub use report::{ChangeReport, FaultReport};
 pub use rule::{Limits, Rule, Target};
