Add the operators' tool

Cause: there was no command-line tool; a sheet could only be put in force by writing the platform's object.

Change: `jaystand` with the sheet, team, kind, server, host, explain, request, settings, log-level and completions commands. Faults are printed with row, column and remedy; `sheet check` and `settings check` call no daemon and use the daemon's own checks. The examples have a settings file for each deployment, which a test checks with the tool.

Before: no command.

Conclusion: an operator can run the daily sheet, see a conflict with its difference and go back.

--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,113 @@
+//! What can go wrong, and the exit code of each class.
+
+use anstyle::{AnsiColor, Style};
+use jaystand_sheet::{ChangeReport, FaultReport};
+
+const RED: Style = AnsiColor::Red.on_default().bold();
+const CYAN: Style = AnsiColor::Cyan.on_default();
+
+/// Class of a failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Class {
+    Refused,
+    Usage,
+    Unreachable,
+    Conflict,
+}
+
+/// A failure with its remedy.
+#[derive(Debug)]
+pub(crate) struct Error {
+    class: Class,
+    message: String,
+    remedy: Option<String>,
+    details: Box<Details>,
+}
+
+/// What is listed beside the message.
+#[derive(Debug, Default)]
+struct Details {
+    faults: Vec<FaultReport>,
+    theirs: Vec<ChangeReport>,
+    yours: Vec<ChangeReport>,
+}
+
+impl Error {
+    /// A failure whose message already names the remedy.
+    pub(crate) fn new(class: Class, message: impl Into<String>) -> Self {
+        Self {
+            class,
+            message: message.into(),
+            remedy: None,
+            details: Box::default(),
+        }
+    }
+
+    pub(crate) fn refused(message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::new(Class::Refused, message).remedy(remedy)
+    }
+
+    pub(crate) fn usage(message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::new(Class::Usage, message).remedy(remedy)
+    }
+
+    pub(crate) fn unreachable(message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::new(Class::Unreachable, message).remedy(remedy)
+    }
+
+    fn remedy(self, remedy: impl Into<String>) -> Self {
+        Self {
+            remedy: Some(remedy.into()),
+            ..self
+        }
+    }
+
+    pub(crate) fn with_faults(mut self, faults: Vec<FaultReport>) -> Self {
+        self.details.faults = faults;
+        self
+    }
+
+    pub(crate) fn with_difference(
+        mut self,
+        theirs: Vec<ChangeReport>,
+        yours: Vec<ChangeReport>,
+    ) -> Self {
+        self.details.theirs = theirs;
+        self.details.yours = yours;
+        self
+    }
+
+    /// The exit code.
+    pub(crate) fn code(&self) -> u8 {
+        match self.class {
+            Class::Refused => 1,
+            Class::Usage => 2,
+            Class::Unreachable => 3,
+            Class::Conflict => 4,
+        }
+    }
+
+    /// Prints to standard error.
+    pub(crate) fn print(&self) {
+        for fault in &self.details.faults {
+            anstream::eprintln!("{}: {}", fault.place, fault.problem);
+            anstream::eprintln!("  {CYAN}help:{CYAN:#} {}", fault.remedy);
+        }
+        anstream::eprintln!("{RED}error:{RED:#} {}", self.message);
+        if let Some(remedy) = &self.remedy {
+            anstream::eprintln!("  {CYAN}help:{CYAN:#} {remedy}");
+        }
+        section("what the other operator changed", &self.details.theirs);
+        section("what your change would do now", &self.details.yours);
+    }
+}
+
+fn section(title: &str, changes: &[ChangeReport]) {
+    if changes.is_empty() {
+        return;
+    }
+    anstream::eprintln!("{title}:");
+    for change in changes {
+        anstream::eprintln!("  {}", change.text);
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,63 @@
-//! See the crate README.
+//! `jaystand`, the operators' tool: reads files, calls the admin API of one daemon, prints text or JSON.
+
+mod arguments;
+mod client;
+mod error;
+mod inspect;
+mod output;
+mod settings;
+mod sheet;
+mod team;
+
+use clap::{CommandFactory, Parser};
+
+use arguments::{Arguments, Command};
+use client::Client;
+use error::Error;
+use output::Output;
+
+/// Runs the command of this process's arguments and returns its exit code.
+#[must_use]
+pub fn run() -> u8 {
+    let arguments = Arguments::parse();
+    let output = Output {
+        json: arguments.connection.json,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let ended = match runtime {
+        Ok(runtime) => runtime.block_on(execute(arguments, &output)),
+        Err(error) => Err(Error::refused(
+            format!("the runtime does not start: {error}"),
+            "free memory or file descriptors and run the command again",
+        )),
+    };
+    match ended {
+        Ok(()) => 0,
+        Err(error) => {
+            error.print();
+            error.code()
+        }
+    }
+}
+
+async fn execute(arguments: Arguments, output: &Output) -> Result<(), Error> {
+    let client = || Client::new(&arguments.connection);
+    match arguments.command {
+        Command::Sheet(command) => sheet::run(command, client, output).await,
+        Command::Team(command) => team::run(command, &client()?, output).await,
+        Command::Kind(command) => inspect::kinds(&command, &client()?, output).await,
+        Command::Server(command) => inspect::servers(command, &client()?, output).await,
+        Command::Host(command) => inspect::hosts(&command, &client()?, output).await,
+        Command::Explain(question) => inspect::explain(question, &client()?, output).await,
+        Command::Request(command) => inspect::request(command, &client()?, output).await,
+        Command::Settings(command) => settings::run(&command, output),
+        Command::LogLevel { level } => inspect::log_level(&level, &client()?, output).await,
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "jaystand", &mut std::io::stdout());
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/offline.rs
@@ -0,0 +1,126 @@
+//! Commands that call no daemon: what they print and how they exit.
+
+mod support;
+
+use support::{Scratch, example};
+
+const HEADER: &str = "team,request kind,model or service,urgency,repeat rule,backend servers,max in flight,\
+                      requests per minute,first token ms,deadline s,expected tokens";
+
+/// Guards against a fault that is passed over, or printed without row, column or remedy. Each kind of fault has its
+/// own test in crates/sheet; this one shows that the tool prints all of them.
+#[test]
+fn every_fault_of_a_sheet_is_printed() {
+    let scratch = Scratch::new("sheet");
+    scratch.write("directory.json", example("tanekaha/directory.json"));
+    let rows = [
+        "scools,k,kauri-9b,urgent,repeatable,*,,,,,",
+        ",k,kauri-9b,urgent,repeatable,*,,,,,",
+        "schools,leak triage/1,kauri-9b,urgent,repeatable,*,,,,,",
+        "schools,a,kauri,urgent,repeatable,*,,,,,",
+        "schools,b,kauri-9b,ASAP,repeatable,*,,,,,",
+        "schools,c,kauri-9b,urgent,twice,*,,,,,",
+        "schools,d,kauri-9b,urgent,repeatable,whau-engine-9,,,,,",
+        "schools,e,kauri-9b,urgent,repeatable,whau-engine-5,,,,,",
+        "schools,f,kauri-9b,urgent,repeatable,whau-engine-1 whau-engine-1,,,,,",
+        "schools,g,kauri-9b,urgent,repeatable,whau-engine-1 *,,,,,",
+        "schools,h,kauri-9b,urgent,repeatable,*,\"1,000\",,,,",
+        "schools,i,kauri-9b,urgent,repeatable,*,,0,,,",
+        "schools,j,kauri-9b,urgent,repeatable,*,,,,86401,",
+        "schools,l,kauri-9b,urgent,repeatable,*,,,5000,2,",
+        "schools,m,kauri-9b,urgent,repeatable,*,,,,,,more",
+        "schools,n,kauri-9b",
+        "schools,o,kauri-9b,urgent,repeatable,*,,,,,",
+        "schools,o,kauri-9b,normal,repeatable,*,,,,,",
+    ];
+    scratch.write("sheet.csv", format!("{HEADER}\n{}\n", rows.join("\n")));
+    let mut all = scratch.run(&["sheet", "check"]);
+    scratch.write("unknown.csv", format!("{HEADER},remarks,team\n"));
+    all += &scratch.run(&["sheet", "check", "--sheet", "unknown.csv"]);
+    scratch.write("missing.csv", HEADER.replace("urgency,", "") + "\n");
+    all += &scratch.run(&["sheet", "check", "--sheet", "missing.csv"]);
+    scratch.write("empty.csv", "");
+    all += &scratch.run(&["sheet", "check", "--sheet", "empty.csv"]);
+    scratch.write("quote.csv", format!("{HEADER}\nschools,\"k\n"));
+    all += &scratch.run(&["sheet", "check", "--sheet", "quote.csv"]);
+    scratch.write("latin1.csv", b"team,caf\xe9");
+    all += &scratch.run(&["sheet", "check", "--sheet", "latin1.csv"]);
+    scratch.write("bad.json", "{\"teams\": 3}");
+    all += &scratch.run(&["sheet", "check", "--directory", "bad.json"]);
+    all += &scratch.run(&["sheet", "check", "--sheet", "none.csv"]);
+    all += &scratch.run(&["sheet", "check", "--sheet", "empty.csv", "--json"]);
+    insta::assert_snapshot!(all);
+}
+
+/// Guards against wrong settings that the tool passes although the daemon refuses them.
+#[test]
+fn every_fault_of_settings_is_printed() {
+    let scratch = Scratch::new("settings");
+    scratch.write(
+        "wrong.toml",
+        "bootstrap = 7\ncolour = \"red\"\npeers = 3\n[host]\nname = \"\"\nregion = \"a b\"\n\
+         [listen]\ncallers = \"localhost\"\nadmin = 8081\nport = 1\n\
+         [platform]\naddress = \"127.0.0.1:5\"\nbudget_per_s = 0\n\
+         [limits]\nbody_bytes = 0\nheader_timeout = \"soon\"\nqueue = -1\n[policy]\nname = \"fastest\"\n\
+         [log]\nlevel = \"loud\"\n[trace]\nendpoint = \"http://127.0.0.1:4317\"\nsample = 2.0\n",
+    );
+    scratch.write("syntax.toml", "[host\n");
+    let mut all = scratch.run(&["settings", "check", "wrong.toml"]);
+    all += &scratch.run(&["settings", "check", "syntax.toml"]);
+    all += &scratch.run(&["settings", "check", "none.toml"]);
+    insta::assert_snapshot!(all);
+    let defaults = scratch.command(&["settings", "defaults"]).output();
+    scratch.write("defaults.toml", defaults.expect("a run").stdout);
+    let checked = scratch.run(&["settings", "check", "defaults.toml"]);
+    assert!(checked.ends_with("no faults\nexit 0\n\n"), "{checked}");
+}
+
+/// Guards against examples that the daemon or the tool refuses.
+#[test]
+fn the_examples_pass_the_checks() {
+    for (deployment, rules) in [("tanekaha", 17), ("cumbre", 12)] {
+        let scratch = Scratch::new(deployment);
+        for file in ["sheet.csv", "directory.json", "jaystandd.toml"] {
+            scratch.write(file, example(&format!("{deployment}/{file}")));
+        }
+        let checked = scratch.run(&["sheet", "check"]);
+        let expected = format!("$ jaystand sheet check\nno faults: {rules} rules\nexit 0\n\n");
+        assert_eq!(checked, expected);
+        // The key files exist on the deployment's hosts only.
+        scratch.write("peer.key", "peer-key");
+        let settings = example(&format!("{deployment}/jaystandd.toml"));
+        let settings = settings.replace("/etc/jaystand/peer.key", "peer.key");
+        scratch.write("jaystandd.toml", settings);
+        let checked = scratch.run(&["settings", "check", "jaystandd.toml"]);
+        assert!(checked.ends_with("no faults\nexit 0\n\n"), "{checked}");
+    }
+}
+
+/// Guards against exit codes that differ from the documented ones, and against a help without examples.
+#[test]
+fn usage_and_help_are_as_documented() {
+    let scratch = Scratch::new("usage");
+    let mut all = scratch.run(&["--help"]);
+    for line in [
+        &["sheet", "aply"][..],
+        &["sheet", "rollback", "x"],
+        &["team", "list"],
+        &["team", "list", "--admin-key-file", "none"],
+        &["--address", "no where", "--admin-key", "k", "host", "list"],
+        &[
+            "--address",
+            "127.0.0.1:1",
+            "--admin-key",
+            "k",
+            "host",
+            "list",
+        ],
+    ] {
+        all += &scratch.run(line);
+    }
+    insta::assert_snapshot!(all);
+    for shell in ["bash", "zsh", "fish"] {
+        let script = scratch.run(&["completions", shell]);
+        assert!(script.contains("rollback"), "{shell}");
+    }
+}
