Feed random bytes to the decoders that had no such test

Cause: settings, caller JSON and the data of an engine's stream had no test that random input cannot make them panic.

Change: property tests with random bytes and with random well-formed fields for the three.

Before: 3 decoders without such a test.

--- a/crates/daemon/tests/assembly.rs
+++ b/crates/daemon/tests/assembly.rs
@@ -165,4 +165,18 @@
             prop_assert_eq!(&delivered, &expected);
         }
     }
+
+    // Whatever a broken engine sends as data must be refused or passed on, never panic.
+    #[test]
+    fn random_data_never_panics(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+        fields in "\\{(\"(id|choices|usage|error|index|delta|finish_reason)\":([0-9]{1,20}|null|\"[a-z0-9-]{0,24}\"|\\[\\{\\}\\]),?){0,5}\\}",
+        whole: bool,
+    ) {
+        for data in [bytes, fields.into_bytes()] {
+            let mut assembly = Assembly::new(REQUEST, whole);
+            let _ = assembly.accept(raw(Some(0), data));
+            let _ = assembly.accept(done());
+        }
+    }
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Guards the settings: an operator must see every error at once, and a misspelt key must not be passed over.
 
 use jaystand_daemon::settings::{Faults, Raw, Settings, defaults};
+use proptest::prelude::*;
 
 fn render(faults: &Faults) -> String {
     let lines = faults.faults.iter();
@@ -61,3 +62,21 @@
     let settings = Settings::parse(text, "x").expect("valid");
     assert!(!format!("{settings:?}").contains("s3cret"));
 }
+
+proptest! {
+    /// Guards against a daemon or tool that crashes on whatever a settings file holds.
+    #[test]
+    fn random_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = Settings::parse(&String::from_utf8_lossy(&bytes), "random");
+    }
+
+    /// Guards against values that only well-formed TOML brings to the checks.
+    #[test]
+    fn random_values_never_panic(
+        section in "(host|listen|platform|peers|limits|orders|shutdown|trace|x)",
+        key in "(name|callers|address|budget_per_s|seeds|queue|drain|sample|y)",
+        value in "(-?[0-9]{1,19}|-?[0-9]{1,9}e[0-9]{1,3}|nan|inf|true|\"[a-z0-9:. ]{0,12}\"|\\[\"[0-9:.]{0,9}\"\\])",
+    ) {
+        let _ = Settings::parse(&format!("[{section}]\n{key} = {value}\n"), "random");
+    }
+}
--- a/crates/wire/tests/chat.rs
+++ b/crates/wire/tests/chat.rs
@@ -8,6 +8,7 @@
     chunk::{Chunk, Completion, render_id},
     engine::{Position, RequestHead, ResponseHead},
 };
+use proptest::prelude::*;
 use serde_json::{Value, json};
 
 fn to_engine(body: &str, continuation: Option<&str>) -> Value {
@@ -209,3 +210,22 @@
         assert!(read(&[pair]).is_err(), "{pair:?}");
     }
 }
+
+proptest! {
+    /// Guards against a caller who can stop the daemon with a body.
+    #[test]
+    fn random_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = Request::try_from(&bytes[..]);
+    }
+
+    /// Guards against bodies that are JSON but of another shape, also when they are written again for an engine.
+    #[test]
+    fn random_fields_never_panic(
+        text in "\\{(\"(model|messages|stream|stream_options|max_tokens|n|x)\":([0-9]{1,12}|null|true|\"[a-z\\\\\"]{0,6}\"|\\[\\{\\}\\]|\\{\\}),?){0,6}\\}",
+    ) {
+        if let Ok(request) = Request::try_from(text.as_bytes()) {
+            let _ = request.to_engine(None);
+            let _ = request.to_engine(Some("so far"));
+        }
+    }
+}
