--- /dev/null
+++ b/crates/cli/tests/support/live.rs
@@ -0,0 +1,130 @@
+//! A daemon in this process, in front of the platform stand-in, with the example of a deployment.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jaystand_daemon::{Settings, settings::Raw};
+use jaystand_sheet::{Directory, Document};
+use jaystand_standin::platform;
+use tokio::sync::oneshot;
+
+use super::{Scratch, example, render};
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const KEY: &str = "the-admin-key";
+
+pub struct Live {
+    pub scratch: Scratch,
+    pub platform: platform::Handle,
+    admin: SocketAddr,
+    _stop: oneshot::Sender<()>,
+}
+
+/// The example of a deployment, with every backend server on a closed loopback port.
+pub fn document() -> Document {
+    let directory = example("tanekaha/directory.json");
+    let mut directory: Directory = serde_json::from_str(&directory).expect("a directory");
+    for (server, port) in directory.servers.iter_mut().zip(1..) {
+        server.address = SocketAddr::from(([127, 0, 0, 1], port));
+    }
+    Document {
+        version: 1,
+        sheet: example("tanekaha/sheet.csv"),
+        directory,
+        author: "ana".to_owned(),
+        note: "first sheet".to_owned(),
+        ..Document::default()
+    }
+}
+
+/// A daemon with the configuration of [`document`].
+pub async fn start(name: &str) -> Live {
+    let stored = serde_json::to_vec(&document()).expect("a document");
+    let live = start_with(name, Some(stored)).await;
+    let wait = async {
+        while !live.run(&["sheet", "status"]).await.contains("version 1") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("a configuration");
+    live
+}
+
+/// A daemon whose platform holds this configuration object, or none.
+pub async fn start_with(name: &str, stored: Option<Vec<u8>>) -> Live {
+    let platform = platform::start(platform::Settings::default()).expect("a platform");
+    if let Some(stored) = stored {
+        platform.standin().set_object("config", "current", stored);
+    }
+    let mut raw = Raw::default();
+    for address in [
+        &mut raw.listen.callers,
+        &mut raw.listen.admin,
+        &mut raw.listen.peers,
+    ] {
+        "127.0.0.1:0".clone_into(address);
+    }
+    "whau-1".clone_into(&mut raw.host.name);
+    "whau".clone_into(&mut raw.host.data_centre);
+    "auckland".clone_into(&mut raw.host.region);
+    raw.platform.address = platform.address().to_string();
+    raw.platform.budget_per_s = 1_000.0;
+    raw.admin.key = KEY.into();
+    let settings = Settings::try_from(raw).expect("valid settings");
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = async move {
+        let _ = stopped.await;
+    };
+    let (announce, announced) = oneshot::channel();
+    tokio::spawn(jaystand_daemon::run_announcing(settings, stopped, announce));
+    let addresses = tokio::time::timeout(PATIENCE, announced).await;
+    let live = Live {
+        scratch: Scratch::new(name),
+        platform,
+        admin: addresses
+            .expect("in time")
+            .expect("the daemon starts")
+            .admin,
+        _stop: stop,
+    };
+    live.scratch.write("sheet.csv", document().sheet);
+    live
+}
+
+impl Live {
+    pub async fn run(&self, line: &[&str]) -> String {
+        self.run_with(KEY, line).await
+    }
+
+    pub async fn run_with(&self, key: &str, line: &[&str]) -> String {
+        let mut command = self.scratch.command(line);
+        command
+            .env("JAYSTAND_ADDRESS", self.admin.to_string())
+            .env("JAYSTAND_ADMIN_KEY", key)
+            .env("USER", "ben");
+        let run = tokio::task::spawn_blocking(move || command.output());
+        let output = run.await.expect("no panic").expect("a run");
+        mask(&render(line, &output), self.admin)
+    }
+}
+
+/// Replaces what differs between runs by text of the same length: hashes, keys and ports.
+fn mask(text: &str, admin: SocketAddr) -> String {
+    let text = text.replace(&admin.to_string(), "ADMIN");
+    let mut after_colon = false;
+    let words = text.split_inclusive(|letter: char| !letter.is_ascii_alphanumeric());
+    let words = words.map(|word| {
+        let bare = word.trim_end_matches(|letter: char| !letter.is_ascii_alphanumeric());
+        let hash = matches!(bare.len(), 16 | 64) && bare.bytes().all(|it| it.is_ascii_hexdigit());
+        let port = after_colon && bare.len() == 5 && bare.bytes().all(|it| it.is_ascii_digit());
+        after_colon = word.ends_with(':');
+        if hash || port {
+            let letter = if hash { "h" } else { "N" };
+            word.replace(bare, &letter.repeat(bare.len()))
+        } else {
+            word.to_owned()
+        }
+    });
+    words.collect()
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Runs the tool in a directory of its own.
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod live;
+
 use std::{
     fmt::Write as _,
     path::{Path, PathBuf},
--- a/crates/daemon/src/api/problem.rs
+++ b/crates/daemon/src/api/problem.rs
@@ -168,7 +168,7 @@
     }
 
     pub(super) fn faults(faults: &Faults) -> Self {
-        let message = format!("{faults}; correct every fault in `faults` and send it again");
+        let message = format!("{faults}; correct every fault listed and send it again");
         let status = StatusCode::UNPROCESSABLE_ENTITY;
         Self::new(status, "faults", message).with("faults", FaultReport::all(faults))
     }
--- a/crates/daemon/src/api/status.rs
+++ b/crates/daemon/src/api/status.rs
@@ -22,7 +22,7 @@
     region: CompactString,
     address: String,
     state: &'static str,
-    /// Absent for a host that this daemon has not exchanged a digest with.
+    /// Absent for a host without one, and for one that this daemon has not exchanged a digest with.
     config: Option<InForce>,
 }
 
@@ -98,11 +98,13 @@
                 State::Leaving => "leaving",
                 State::Gone => "gone",
             },
-            config: config.map(|(config, age)| InForce {
-                version: config.version,
-                hash: render(config.hash),
-                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            }),
+            config: config
+                .filter(|(config, _)| config.version > 0)
+                .map(|(config, age)| InForce {
+                    version: config.version,
+                    hash: render(config.hash),
+                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                }),
         }
     }
 
