Test that other hosts follow and are shown

Cause: the admin API's tests ran one daemon, so that the member view of versions and the spread of a drain through the API were not shown.

Change: a test with two daemons replaces the configuration and drains a server at one and reads both at the other.

--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -358,3 +358,58 @@
         assert_ne!(reply.json()["error"]["message"], "", "{method} {path}");
     }
 }
+
+/// Guards against a host that is reported to have a sheet that it does not have, and against marks and sheets that
+/// stay on the host that was called.
+#[tokio::test]
+async fn other_hosts_follow_and_are_shown() {
+    let platform = platform::start(platform::Settings::default()).expect("a platform");
+    let engines = [start_engine(1), start_engine(2)];
+    let service = start_service();
+    let document = standard(&[&engines[0], &engines[1]], &service);
+    let stored = serde_json::to_vec(&document).expect("a document");
+    platform.standin().set_object("config", "current", stored);
+    let ports = [(); 2].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let seeds = ports.map(|port| port.local_addr().expect("bound").to_string());
+    let mut daemons = Vec::new();
+    for (index, own) in seeds.iter().enumerate() {
+        let change = |raw: &mut Raw| {
+            raw.host.name = format!("host-{index}");
+            raw.platform.address = platform.address().to_string();
+            raw.platform.budget_per_s = 1_000.0;
+            raw.listen.peers.clone_from(own);
+            raw.peers.seeds = seeds.to_vec();
+            raw.peers.key = "shared".into();
+            raw.admin.key = ADMIN_KEY.into();
+        };
+        daemons.push(Daemon::start_with(document.clone(), change).await);
+    }
+    let second = daemons.pop().expect("two daemons");
+    let first = Deployment {
+        platform,
+        _engines: engines,
+        _service: service,
+        document,
+        daemon: daemons.pop().expect("two daemons"),
+    };
+    let on_first = [("if-match", "\"1\"")];
+    let changed = first.proposal("ana", ROW);
+    let reply = first.call_with(Method::PUT, "/v1/config", &on_first, &changed);
+    assert_eq!(reply.await.status, 200);
+    wait_until(async || {
+        let status = first.get("/v1/status").await;
+        status["in_force_everywhere"] == true && status["hosts"][1]["config"]["version"] == 2
+    })
+    .await;
+    let key = format!("Bearer {ADMIN_KEY}");
+    let headers = [("authorization", key.as_str())];
+    let at_second = async |path: &str| {
+        let reply = send(second.admin, Method::GET, path, &headers, "").await;
+        assert_eq!(reply.status, 200, "{path}: {}", reply.text());
+        reply.json()
+    };
+    assert_eq!(at_second("/v1/status").await["config"]["version"], 2);
+    let drained = first.call(Method::POST, "/v1/servers/e0/drain", &Value::Null);
+    assert_eq!(drained.await.status, 200);
+    wait_until(async || at_second("/v1/servers").await["servers"][1]["drained"] == true).await;
+}
