Keep requests of the faults command from waiting for each other

Cause: answers were awaited in the order of sending, so that an order whose ledger stays silent held up the 96 requests behind it; since orders are claimed and run, the command took more than 120 s and was stopped by the time limit.

Change: answers are taken as they come and sorted afterwards.

--- a/crates/standin/src/bench/faults.rs
+++ b/crates/standin/src/bench/faults.rs
@@ -89,8 +89,14 @@
     let sent: Vec<Sent> = (0..options.requests)
         .map(|index| request(&cluster, options.seed, index))
         .collect();
-    let answers = futures::stream::iter(&sent).map(|sent| cluster.balancer.send(&sent.call));
-    let answers: Vec<Answer> = answers.buffered(options.parallel).collect().await;
+    let balancer = &cluster.balancer;
+    // Unordered, so that an order whose ledger is silent does not hold up the requests behind it.
+    let answers = futures::stream::iter(sent.iter().enumerate())
+        .map(|(index, sent)| async move { (index, balancer.send(&sent.call).await) });
+    let answers = answers.buffer_unordered(options.parallel);
+    let mut answers: Vec<(usize, Answer)> = answers.collect().await;
+    answers.sort_by_key(|(index, _)| *index);
+    let answers: Vec<Answer> = answers.into_iter().map(|(_, answer)| answer).collect();
     change.abort();
     let _ = change.await;
     let verdict = judge(&cluster, &sent, &answers);
