Apply the configuration before the caller listener starts

Cause: the hub took the configuration over in a background task, and the readiness gate was made there too. A caller that came at once could get 503 not_ready, and /readyz could report ready before the gate existed.

Change: the backend plug-in makes the gate and adopts a configuration that exists already while it starts; the task follows changes only.

Conclusion: the order of start no longer depends on scheduling.

--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -9,12 +9,13 @@
 use hyper::Request;
 use jaystand_control::member::Reach;
 use jaystand_kernel::{
-    Kernel, Phase,
+    Gate, Kernel, Phase,
     plugin::{Running, Stage, Started},
 };
 use jaystand_policy::{Event, Router, load::Report, router};
 use jaystand_types::{DataCentre, ServerId};
 use jaystand_wire::engine::{LOAD_PATH, Load};
+use tokio::sync::watch;
 
 use crate::{
     backend::Backend,
@@ -44,12 +45,13 @@
         settings.limits.queue,
     ));
     kernel.provide(Arc::clone(&hub));
+    // Both happen before the caller listener starts: readiness must not be reported without a configuration, and
+    // the first caller must not meet a daemon that has one and has not applied it.
+    let gate = kernel.lifecycle().gate("a configuration");
+    let mut changes = store.subscribe();
+    adopt(&hub, &gate, &mut changes);
     let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn(follow_configuration(
-        kernel.clone(),
-        store,
-        Arc::clone(&hub),
-    ));
+    tasks.spawn(follow_configuration(Arc::clone(&hub), gate, changes));
     tasks.spawn(Arc::clone(&hub).tick());
     tasks.spawn(poll(kernel.clone(), hub, peers));
     Ok(Running::until(async move { tasks.shutdown().await }))
@@ -69,18 +71,19 @@
     }
 }
 
-async fn follow_configuration(kernel: Kernel, store: Arc<config::Store>, hub: Arc<Hub>) {
-    let gate = kernel.lifecycle().gate("a configuration");
-    let mut changes = store.subscribe();
-    loop {
-        let active = changes.borrow_and_update().clone();
-        if let Some(active) = active {
-            hub.configure(active);
-            gate.set(true);
-        }
-        if changes.changed().await.is_err() {
-            return;
-        }
+type Changes = watch::Receiver<Option<Arc<config::Active>>>;
+
+async fn follow_configuration(hub: Arc<Hub>, gate: Gate, mut changes: Changes) {
+    while changes.changed().await.is_ok() {
+        adopt(&hub, &gate, &mut changes);
+    }
+}
+
+fn adopt(hub: &Hub, gate: &Gate, changes: &mut Changes) {
+    let active = changes.borrow_and_update().clone();
+    if let Some(active) = active {
+        hub.configure(active);
+        gate.set(true);
     }
 }
 
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -77,3 +77,15 @@
     assert!(daemon.metric("jaystand_prompt_tokens_total").await > 0.0);
     daemon.stop().await;
 }
+
+// A daemon that listened before it had applied its configuration refused its first callers as not ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_serves_as_soon_as_it_listens() {
+    let (engine, service) = (start_engine(1), start_service());
+    for _ in 0..10 {
+        let daemon = Daemon::launch(standard(&[&engine], &service), |_| {}).await;
+        let reply = daemon.post("/services/lookup", &[], "room 7").await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        daemon.stop().await;
+    }
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -154,6 +154,13 @@
     }
 
     pub async fn start_with(document: Document, change: impl Fn(&mut settings::Raw)) -> Self {
+        let daemon = Self::launch(document, change).await;
+        daemon.ready().await;
+        daemon
+    }
+
+    /// Returns as soon as the daemon listens, ready or not.
+    pub async fn launch(document: Document, change: impl Fn(&mut settings::Raw)) -> Self {
         let file =
             std::env::temp_dir().join(format!("jaystand-{:016x}.json", rand::random::<u64>()));
         std::fs::write(&file, serde_json::to_vec(&document).expect("a document")).expect("a file");
@@ -185,7 +192,7 @@
             task: Some(task),
             client: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
         };
-        daemon.ready().await;
+        // The file is read before the daemon listens.
         let _ = std::fs::remove_file(file);
         daemon
     }
