Take names with special characters, and list a history with a damaged entry

Cause: names of the directory may hold characters that a path cannot, so that such a server could not be drained; and one configuration of the history that could not be read made the whole list fail.

Change: the tool encodes names in paths and the admin API decodes them; an entry that cannot be read is listed with its version only.

Before: both calls failed.

--- a/crates/cli/src/inspect.rs
+++ b/crates/cli/src/inspect.rs
@@ -4,6 +4,7 @@
 
 use hyper::Method;
 use jaystand_sheet::{Rule, Target};
+use percent_encoding::{NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde_json::{Value, json};
 
 use crate::{
@@ -62,7 +63,7 @@
         Server::Drain { name } => (name, "drain"),
         Server::Undrain { name } => (name, "undrain"),
     };
-    let path = format!("/v1/servers/{name}/{verb}");
+    let path = format!("/v1/servers/{}/{verb}", segment(&name));
     let report = client.post(&path, &Value::Null).await?;
     output.show(&report, || {
         let state = if report["drained"] == true {
@@ -167,7 +168,9 @@
     output: &Output,
 ) -> Result<(), Error> {
     let Request::Show { id } = command;
-    let shown = client.get(&format!("/v1/requests/{id}")).await?;
+    let shown = client
+        .get(&format!("/v1/requests/{}", segment(&id)))
+        .await?;
     output.show(&shown, || {
         let columns = [
             ("request", "/id"),
@@ -191,3 +194,8 @@
     });
     Ok(())
 }
+
+/// A name as one segment of a path.
+fn segment(name: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(name, NON_ALPHANUMERIC)
+}
--- a/crates/cli/tests/live.rs
+++ b/crates/cli/tests/live.rs
@@ -62,6 +62,7 @@
         &["server", "drain", "whau-engine-1"],
         &["server", "undrain", "whau-engine-1"],
         &["server", "drain", "whau-engine-9"],
+        &["server", "drain", "a b/c?"],
         &["host", "list"],
         &["request", "show", "0123456789abcdef"],
         &["log-level", "loud"],
--- a/crates/daemon/src/api/config.rs
+++ b/crates/daemon/src/api/config.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use futures::future::try_join_all;
+use futures::future::join_all;
 use hyper::header::{ETAG, HeaderValue, IF_MATCH};
 use jaystand_control::config::{self, Object};
 use jaystand_platform::Client;
@@ -141,10 +141,11 @@
     versions.sort_unstable_by(|a, b| b.cmp(a));
     versions.truncate(limit);
     let newest = versions.iter().take(HISTORY_DETAILS);
-    let details = try_join_all(newest.map(|version| read(&client, Object::History(*version))));
-    let mut details = details.await?.into_iter();
+    let details = join_all(newest.map(|version| read(&client, Object::History(*version))));
+    let mut details = details.await.into_iter();
     let past = versions.into_iter().map(|version| {
-        let found = details.next().flatten();
+        // A former configuration that cannot be read is listed without author and note.
+        let found = details.next().and_then(|it| it.ok().flatten());
         Past {
             version,
             parent: found.as_ref().map(|it| it.parent),
--- a/crates/daemon/src/api/servers.rs
+++ b/crates/daemon/src/api/servers.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use jaystand_sheet::ServerKind;
 use jaystand_types::ServerId;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde_json::json;
 
@@ -47,6 +48,7 @@
 }
 
 pub(super) fn drain(call: &Call, name: &str, leaving: bool) -> Result {
+    let name = &*percent_decode_str(name).decode_utf8_lossy();
     let view = View::new(call)?;
     let mut backends = view.configured.backends.iter().zip(0..);
     let found = backends.find(|(backend, _)| backend.server.name == name);
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -236,6 +236,10 @@
     let old = deployment.get("/v1/config/history/2").await;
     assert_eq!(old["sheet"], changed["sheet"]);
     let never = json!({"version": 9});
+    let standin = deployment.platform.standin();
+    standin.set_object("config-history", "2", "{}");
+    let history = deployment.get("/v1/config/history").await;
+    assert_eq!(history["versions"][1], json!({"version": 2}));
     let unknown = deployment.call(Method::POST, rollback, &never).await;
     assert_eq!(unknown.status, 404);
 }
@@ -274,6 +278,8 @@
     wait_until(async || served_by(&deployment, 20).await.iter().all(|it| it == "e1")).await;
     assert_eq!(drain("undrain").await["drained"], false);
     wait_until(async || served_by(&deployment, 20).await.iter().any(|it| it == "e0")).await;
+    let encoded = deployment.call(Method::POST, "/v1/servers/e%30/undrain", &Value::Null);
+    assert_eq!(encoded.await.json()["name"], "e0");
     let path = "/v1/servers/e9/drain";
     let unknown = deployment.call(Method::POST, path, &Value::Null).await;
     assert_eq!(unknown.json()["error"]["code"], "unknown_server");
