Test that a wait ends with the names of the missing hosts

Change: a test against a server that answers like a daemon whose view lacks confirmations.

Before: exit code 3 of a wait was untested.

--- a/crates/cli/tests/live.rs
+++ b/crates/cli/tests/live.rs
@@ -2,8 +2,17 @@
 
 mod support;
 
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::TcpListener,
+};
+
 use jaystand_standin::platform;
-use support::live::{document, start, start_with};
+use support::{
+    Scratch,
+    live::{document, start, start_with},
+    render,
+};
 
 /// Guards against a daily sheet that is applied without the operator seeing what it changes, whether it is in force
 /// everywhere, and how to go back; and against the loser of a race being told that the change took effect.
@@ -105,3 +114,43 @@
     all += &live.run(&["sheet", "status"]).await;
     insta::assert_snapshot!(all);
 }
+
+/// Answers the calls of a rollback like a daemon that never hears of one of the hosts.
+fn deaf_daemon() -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut head = String::new();
+            let mut reader = BufReader::new(&mut stream);
+            while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).expect("a line") > 0 {}
+            let body = if head.starts_with("GET /v1/status") {
+                r#"{"hosts": [{"name": "whau-1", "state": "live", "config": {"version": 3}},
+                    {"name": "orakei-1", "state": "live", "config": {"version": 2}},
+                    {"name": "mangere-1", "state": "suspect", "config": null},
+                    {"name": "takapuna-1", "state": "gone", "config": null}]}"#
+            } else {
+                r#"{"version": 3}"#
+            };
+            let length = body.len();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+            );
+            stream.write_all(answer.as_bytes()).expect("written");
+        }
+    });
+    address
+}
+
+/// Guards against a wait that never ends, or that ends well although a host has not confirmed the sheet.
+#[test]
+fn a_wait_ends_with_the_names_of_the_missing_hosts() {
+    let scratch = Scratch::new("wait");
+    let address = deaf_daemon().to_string();
+    let line = ["sheet", "rollback", "1", "--wait", "--timeout", "100ms"];
+    let mut command = scratch.command(&line);
+    command.env("JAYSTAND_ADDRESS", address);
+    command.env("JAYSTAND_ADMIN_KEY", "key");
+    insta::assert_snapshot!(render(&line, &command.output().expect("a run")));
+}
