Tell slow servers from busy ones by the pace of their tokens

Cause: a first token that waits for another daemon's prompt looked like a slow server. At the peak, healthy servers were ejected or penalised, their requests moved to servers without the prefix, and the recomputed prompts delayed others in turn. Change: slowness needs late first tokens and, where answers run, a slow pace between tokens against the peers' median. A waiting request moves to another server only if it gains by a factor of 5. A hedge may not cost more than the late attempt has lost. The recompute weight is 2.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,6 +14,8 @@
 
 /// Queues looked at, and requests in each, when a server with room takes over waiting work.
 const STEAL_QUEUES: usize = 4;
+/// A request moves to an idle server only if it gains by this factor: where it waits, its prefix is cached.
+const STEAL_GAIN: f64 = 5.0;
 const STEAL_ENTRIES: usize = 4;
 /// Longest queue of a server on probation that is placed again in a review; of longer ones, only urgent work.
 const REPLACED_REQUESTS: usize = 64;
@@ -353,7 +355,7 @@
             return false;
         }
         let here = self.choice_of(now, entry.request, from);
-        there.expected < here.expected
+        there.expected * STEAL_GAIN < here.expected
     }
 
     fn refuse_late(&mut self, now: Moment, server: ServerId, actions: &mut Vec<Action>) {
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Peers {
     pub(crate) overhead: f64,
     pub(crate) prefill: f64,
+    /// Seconds between tokens.
+    pub(crate) token: f64,
     pub(crate) slowness: f64,
 }
 
@@ -99,6 +101,7 @@
         let peers = Peers {
             overhead: latency.overhead(),
             prefill: latency.prefill(),
+            token: latency.token(),
             slowness: 1.0,
         };
         Self {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -174,6 +174,7 @@
             let peers = Peers {
                 overhead: median(members().map(|b| b.latency.overhead())),
                 prefill: median(members().map(|b| b.latency.prefill())),
+                token: median(members().map(|b| b.latency.token())),
                 slowness: median(members().map(|b| b.health.slowness(now))),
             };
             for backend in self.backends.iter_mut().filter(|b| b.model == model) {
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -8,6 +8,12 @@
 /// last three: prompts of other daemons delay single answers, a slow server delays all.
 const KEPT_SAMPLES: usize = 3;
 const LARGEST_SAMPLE: f64 = 16.0;
+/// Tokens over which the pace of a server's answers is measured.
+const PACE_TOKENS: u32 = 8;
+/// Measures kept. A long prompt of another daemon slows one of them, a slow server all.
+const KEPT_PACES: usize = 3;
+/// A pace that was measured longer ago says nothing of the server now.
+const PACE_AGE: Duration = Duration::from_secs(1);
 /// Without new samples a server regains half of its lost weight in this time.
 const HALF_LIFE: f64 = 2.0;
 /// Slowness at which a server is ejected, if the limit on ejected servers allows it.
@@ -32,9 +38,41 @@
     Ejected { until: Moment },
 }
 
+/// How much longer than usual a server takes between tokens. Prompts of other daemons delay first tokens, but hardly
+/// slow the tokens of answers that already run, so a usual pace shows that late first tokens are due to load.
+#[derive(Clone, Debug, Default)]
+struct Pace {
+    ratios: [f64; KEPT_PACES],
+    at: Moment,
+    tokens: u32,
+    seconds: f64,
+}
+
+impl Pace {
+    fn observe(&mut self, now: Moment, tokens: u32, seconds: f64, usual: f64) {
+        self.tokens += tokens;
+        self.seconds += seconds;
+        if self.tokens < PACE_TOKENS || usual <= 0.0 {
+            return;
+        }
+        self.ratios.rotate_right(1);
+        self.ratios[0] = self.seconds / f64::from(self.tokens) / usual;
+        self.at = now;
+        self.tokens = 0;
+        self.seconds = 0.0;
+    }
+
+    /// The fastest of the last measures, at least 1; none without a recent one.
+    fn ratio(&self, now: Moment) -> Option<f64> {
+        let fastest = self.ratios.into_iter().fold(LARGEST_SAMPLE, f64::min);
+        (now < self.at + PACE_AGE && self.ratios[0] > 0.0).then(|| fastest.max(1.0))
+    }
+}
+
 /// The health of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
+    pace: Pace,
     /// Latest ratios, newest first.
     samples: [f64; KEPT_SAMPLES],
     at: Moment,
@@ -45,6 +83,7 @@
 impl Health {
     pub(crate) fn new() -> Self {
         Self {
+            pace: Pace::default(),
             samples: [1.0; KEPT_SAMPLES],
             at: Moment::ZERO,
             state: State::Open,
@@ -61,6 +100,11 @@
         self.state
     }
 
+    /// Takes in tokens that came this many seconds after the ones before, where the peers take `usual` for each.
+    pub(crate) fn observe_tokens(&mut self, now: Moment, tokens: u32, seconds: f64, usual: f64) {
+        self.pace.observe(now, tokens, seconds, usual);
+    }
+
     /// Takes in the ratio of a first-token time to what own load and peers predict.
     pub(crate) fn observe(&mut self, now: Moment, sample: f64) {
         let sample = sample.clamp(0.0, LARGEST_SAMPLE);
@@ -106,6 +150,7 @@
     }
 
     fn decayed(&self, now: Moment, ratio: f64) -> f64 {
+        let ratio = ratio.min(self.pace.ratio(now).unwrap_or(LARGEST_SAMPLE));
         let age = now.saturating_sub(self.at).as_secs_f64();
         1.0 + (ratio - 1.0).max(0.0) * (-age / HALF_LIFE).exp2()
     }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,7 +16,7 @@
 };
 
 /// A missed token counts more than its own computation: it delays the requests behind it, too.
-const RECOMPUTE_WEIGHT: f64 = 1.5;
+const RECOMPUTE_WEIGHT: f64 = 2.0;
 /// A server must win by this part of the first candidate's score, or by the least margin. Without it, lagging
 /// reports would make all daemons move to the same server at once.
 const MARGIN_PART: f64 = 0.15;
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -257,6 +257,8 @@
         }
         let backend = &mut self.backends[seen.server as usize];
         backend.long_in_flight += u32::from(became_long);
+        let usual = backend.peers.token;
+        backend.health.observe_tokens(now, tokens, gap, usual);
         if gap > 0.0 {
             backend.latency.observe_tokens(tokens, gap);
         }
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -249,7 +249,12 @@
         };
         let backend = &self.backends[choice.server as usize];
         let room = backend.admits(now, shape, choice.missed, &self.settings);
-        if !room || !self.hedges.spend() {
+        // A hedge that has to compute the prompt again delays others by that time. It must not cost more than the
+        // late attempt has lost already.
+        let sent = flight.attempts.first().map_or(now, |running| running.sent);
+        let lost = now.saturating_sub(sent).as_secs_f64();
+        let pays = choice.missed * backend.latency.prefill() <= lost;
+        if !room || !pays || !self.hedges.spend() {
             self.timers.push(now + HEDGE_PAUSE, Due::Late(id, late));
             return;
         }
