Compare with well-set baselines

Cause: hash-only hashed the first level alone, which put the largest team on one engine, and least-loaded broke ties by the first server, so that six daemons chose the same one. Beating these proves little. Change: hash-only hashes the level that adds most text; least-loaded breaks ties by a hash of request and server.

--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -1,4 +1,5 @@
-//! The strategies of usual balancers, for comparison.
+//! The strategies of usual balancers, for comparison. They are as good as such balancers are when well set up, so that a
+//! comparison shows the policy and not a careless baseline.
 
 use crate::{
     Strategy,
@@ -20,15 +21,25 @@
         let allowed = &scratch.allowed;
         let server = match self.settings.strategy {
             Strategy::HashOnly | Strategy::Jaystand => {
-                let levels = query.request.chain.levels();
-                let hash = levels.first().map_or(query.request.id, |level| level.hash);
+                // The level that adds most text, as a hash over the prompt's first kilobytes would. A hash of the
+                // first level alone would send all documents of a team to one server.
+                let chain = &query.request.chain;
+                let base = chain.levels().get(chain.base());
+                let hash = base.map_or(query.request.id, |level| level.hash);
                 first_members(allowed, hash, 1)
                     .first()
                     .map(|first| first.member.server)
             }
             Strategy::LeastLoaded => {
-                let load = |member: &&Member| self.ranks[member.server as usize].occupancy;
-                let least = allowed.iter().min_by(|a, b| load(a).total_cmp(&load(b)));
+                // Ties are broken at random, or all daemons would choose the first idle server.
+                let key = |member: &&Member| {
+                    let load = self.ranks[member.server as usize].occupancy;
+                    (load, figure::mix(query.request.id, member.key))
+                };
+                let least = allowed.iter().min_by(|a, b| {
+                    let ((a, first), (b, second)) = (key(a), key(b));
+                    a.total_cmp(&b).then(first.cmp(&second))
+                });
                 least.map(|ranked| ranked.server)
             }
             Strategy::RoundRobin => {
--- a/crates/policy/src/candidates.rs
+++ b/crates/policy/src/candidates.rs
@@ -88,7 +88,7 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Member {
-    key: u64,
+    pub(crate) key: u64,
     pub(crate) server: ServerId,
 }
 
