Answer unknown when an earlier run under the caller's key is not excluded

Cause: a repeat whose claim could not be read (platform unreachable, contention, corrupt shard, deadline, shutdown, no platform) was told `not_run`. That held for the sending, but its caller takes it for a statement about the order, which an earlier sending under the same key may have run, and places the order anew.

Change: such a repeat gets outcome `unknown` with the same status, code and Retry-After, and a message that says that this request was not run, that an earlier one may have been, and to repeat with the same key. `not_run` stays for a key that this daemon minted, and for a shard that was read and is full without the key (`Reason::excludes_earlier_run`).

`repeated_orders` and the `orders` bench count a `not_run` as false when the ledger executed the key at all. The one exception is a sending that the ledger itself refused before that execution: it held the claim and gave it back, so the other sending may run later, and without the exception the simulation fails on such orders. The `faults` bench already judged by the ledger's count of the key.

Conclusion: a repeat under the caller's key no longer gets a `not_run` that says nothing about the order.

--- a/crates/control/src/claim/reason.rs
+++ b/crates/control/src/claim/reason.rs
@@ -44,6 +44,23 @@
 }
 
 impl Reason {
+    /// Whether an attempt that ended with `not_run` for this reason has read the shard and found no record of the key,
+    /// so that no earlier request with the key ran either.
+    #[must_use]
+    pub const fn excludes_earlier_run(self) -> bool {
+        match self {
+            Self::Full => true,
+            Self::Unreachable
+            | Self::Contended
+            | Self::Corrupt
+            | Self::Deadline
+            | Self::ShuttingDown
+            | Self::InProgress
+            | Self::Expired
+            | Self::NotKept => false,
+        }
+    }
+
     /// When a repeat with the same key may end differently; none when it never will.
     #[must_use]
     pub const fn retry_after(self) -> Option<Duration> {
--- a/crates/control/tests/claim.rs
+++ b/crates/control/tests/claim.rs
@@ -129,6 +129,24 @@
     assert_eq!(store.writes, 1);
 }
 
+/// Guards against a `not_run` for a key that was not looked up: its caller would place an order that ran anew.
+#[test]
+fn only_a_full_shard_excludes_an_earlier_run() {
+    assert!(Reason::Full.excludes_earlier_run());
+    for reason in [
+        Reason::Unreachable,
+        Reason::Contended,
+        Reason::Corrupt,
+        Reason::Deadline,
+        Reason::ShuttingDown,
+        Reason::InProgress,
+        Reason::Expired,
+        Reason::NotKept,
+    ] {
+        assert!(!reason.excludes_earlier_run(), "{reason}");
+    }
+}
+
 /// Guards against a shard that outgrows the platform's limit, drops tombstones, or cannot record a result.
 #[test]
 fn a_full_shard_refuses_claims_and_keeps_results() {
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -47,14 +47,7 @@
     let key = once::key(&call.head.headers, found.repeat)?;
     let deadline = call.arrived + found.limits.deadline;
     let content = [call.head.uri.path().as_bytes(), &body[..]];
-    let permission = once::permit(
-        entry,
-        found.repeat,
-        &team,
-        key.as_deref(),
-        content,
-        deadline,
-    );
+    let permission = once::permit(entry, found.repeat, &team, key.as_ref(), content, deadline);
     let claim = match permission.await? {
         Permission::Free => None,
         Permission::Claimed(claim) => Some(claim),
--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -1,6 +1,6 @@
 //! Requests that must run at most once: the claim before dispatch and its settlement after the answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::Deref, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_TYPE};
 use jaystand_control::claim::{BodyHash, Reason};
@@ -37,17 +37,40 @@
     Answered(Response<Body>),
 }
 
+/// The idempotency key of a request.
+pub(crate) struct IdempotencyKey {
+    value: String,
+    /// Made by this daemon for this request, so that no earlier request can have used it.
+    minted: bool,
+}
+
+impl Deref for IdempotencyKey {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.value
+    }
+}
+
 /// The idempotency key; one is minted for unrepeatable requests without one.
 ///
 /// # Errors
 /// Fails when the caller's key is not valid.
-pub(crate) fn key(headers: &HeaderMap, repeat: RepeatRule) -> Result<Option<String>, Problem> {
+pub(crate) fn key(
+    headers: &HeaderMap,
+    repeat: RepeatRule,
+) -> Result<Option<IdempotencyKey>, Problem> {
     let given = idempotency_key(headers)?;
     Ok(match (given, repeat) {
-        (None, RepeatRule::Once | RepeatRule::OnceChecked) => {
-            Some(format!("{:032x}", rand::random::<u128>()))
-        }
-        (given, _) => given,
+        (Some(value), _) => Some(IdempotencyKey {
+            value,
+            minted: false,
+        }),
+        (None, RepeatRule::Once | RepeatRule::OnceChecked) => Some(IdempotencyKey {
+            value: format!("{:032x}", rand::random::<u128>()),
+            minted: true,
+        }),
+        (None, RepeatRule::Repeatable) => None,
     })
 }
 
@@ -59,7 +82,7 @@
     entry: &Entry,
     repeat: RepeatRule,
     team: &TeamId,
-    key: Option<&str>,
+    key: Option<&IdempotencyKey>,
     content: [&[u8]; 2],
     deadline: Moment,
 ) -> Result<Permission, Problem> {
@@ -69,11 +92,8 @@
     let Some(claims) = &entry.claims else {
         let message =
             "the request must run at most once, which cannot be ensured without a platform";
-        return Err(Problem::unavailable(
-            "claims_unavailable",
-            message,
-            RETRY_AFTER,
-        ));
+        let problem = Problem::unavailable("claims_unavailable", message, RETRY_AFTER);
+        return Err(unclaimed(problem, key.minted));
     };
     let hash = hash(content);
     let span = tracing::info_span!(target: "jaystand", "platform");
@@ -87,11 +107,12 @@
         Verdict::NotRun {
             reason,
             retry_after,
-        } => Err(Problem::unavailable(
-            "claim_not_recorded",
-            &reason.to_string(),
-            retry_after,
-        )),
+        } => {
+            let problem =
+                Problem::unavailable("claim_not_recorded", &reason.to_string(), retry_after);
+            let excluded = key.minted || reason.excludes_earlier_run();
+            Err(unclaimed(problem, excluded))
+        }
         Verdict::Unknown {
             reason,
             retry_after,
@@ -114,6 +135,19 @@
     BodyHash::new(&content)
 }
 
+/// The answer to a request without a claim. Unless an earlier run under the key is excluded, `not_run` would be
+/// taken for a statement about the order, which would then be placed anew under another key.
+fn unclaimed(mut problem: Problem, earlier_run_excluded: bool) -> Problem {
+    if !earlier_run_excluded {
+        problem.outcome = Outcome::Unknown;
+        problem.message.push_str(
+            "; this request was not run, but an earlier one with the same idempotency key may have been: repeat it \
+             with the same key",
+        );
+    }
+    problem
+}
+
 fn unknown(reason: Reason, retry_after: Option<Duration>) -> Problem {
     let mut problem = Problem::request(StatusCode::CONFLICT, "outcome_unknown", reason.to_string());
     problem.outcome = Outcome::Unknown;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -16,7 +16,7 @@
     drive::{Driver, Job, Output},
     entry::{Call, Entry, Shape, Submitted},
     hub::Configured,
-    once::{self, Permission},
+    once::{self, IdempotencyKey, Permission},
     reply::{Body, Problem, insert},
 };
 
@@ -66,7 +66,7 @@
     entry: Arc<Entry>,
     call: Call,
     rule: Arc<Rule>,
-    key: Option<String>,
+    key: Option<IdempotencyKey>,
 }
 
 impl Work {
@@ -76,7 +76,7 @@
             &self.entry,
             self.rule.repeat,
             &self.call.team,
-            self.key.as_deref(),
+            self.key.as_ref(),
             [path, &self.call.body],
             self.call.arrived + self.rule.limits.deadline,
         );
--- a/crates/standin/src/bench/orders.rs
+++ b/crates/standin/src/bench/orders.rs
@@ -184,14 +184,14 @@
 fn judge(cluster: &Cluster, sent: &[Sent]) -> Verdict {
     let mut executions: HashMap<String, u32> = HashMap::new();
     let mut requests: HashSet<String> = HashSet::new();
+    let mut refused: HashSet<String> = HashSet::new();
     for ledger in &cluster.fleet.ledgers {
         for (key, count) in ledger.standin().executions() {
             *executions.entry(key).or_default() += count;
         }
-        let executed = ledger
-            .records()
-            .into_iter()
-            .filter(|record| record.executed);
+        let records = ledger.records();
+        refused.extend(refused_before_execution(&records));
+        let executed = records.into_iter().filter(|record| record.executed);
         requests.extend(executed.map(|record| record.request));
     }
     let mut verdict = Verdict {
@@ -211,11 +211,32 @@
         by_order.entry(sent.order).or_default().push(&sent.answer);
     }
     for (order, answers) in by_order {
-        verdict.order(order, &answers, ordered.contains(&order), &requests);
+        verdict.order(
+            order,
+            &answers,
+            ordered.contains(&order),
+            &requests,
+            &refused,
+        );
     }
     verdict
 }
 
+/// Requests that a ledger refused before it executed their order. Such a request held the claim and gave it back, so
+/// its `not_run` stays true when a later sending runs.
+fn refused_before_execution(records: &[ledger::Record]) -> HashSet<String> {
+    let mut executed = HashSet::new();
+    let mut refused = HashSet::new();
+    for record in records {
+        if record.executed {
+            executed.insert(&record.key);
+        } else if !executed.contains(&record.key) {
+            refused.insert(record.request.clone());
+        }
+    }
+    refused
+}
+
 impl Verdict {
     fn order(
         &mut self,
@@ -223,6 +244,7 @@
         answers: &[&Answer],
         executed: bool,
         requests: &HashSet<String>,
+        refused: &HashSet<String>,
     ) {
         for answer in answers {
             if answer.complete() {
@@ -237,13 +259,19 @@
             if !answer.complete() {
                 *self.reasons.entry(reason(answer)).or_default() += 1;
             }
-            // The first sending may have run while the second was refused, so the request counts, not the order.
             if answer.not_run() && requests.contains(&answer.request_id) {
                 self.wrongly_not_run += 1;
                 self.example(format!(
                     "order {order} was told not_run, but {} ran",
                     answer.request_id
                 ));
+            } else if answer.not_run() && executed && !refused.contains(&answer.request_id) {
+                self.wrongly_not_run += 1;
+                self.example(format!(
+                    "order {order} ran, but {} was told not_run: {}",
+                    answer.request_id,
+                    reason(answer)
+                ));
             }
             if answer.complete() && !executed {
                 self.done_without_execution += 1;
@@ -316,3 +344,6 @@
     };
     format!("{outcome}: {}", message.unwrap_or("the connection was cut"))
 }
+
+#[cfg(test)]
+mod tests;
