Offer the micro and orders benches on the command line

Cause: `micro` could only be run as an example of the policy crate that included the bench's source by path, and `orders` not at all.

Change: `jaystand-bench micro` and `jaystand-bench orders`. The bench binary has a global allocator that passes everything on to the system's and counts only during `micro`, so that the other commands do not share the counters' cache line. Reallocations now go to the system's `realloc` and count as one allocation. `micro` fails when the bound is missed.

Conclusion: all benches of the design run from one binary.

--- a/crates/standin/src/bench/mod.rs
+++ b/crates/standin/src/bench/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod drain;
 pub(crate) mod faults;
 pub(crate) mod measure;
-#[allow(dead_code, reason = "until the command line offers it")]
+pub(crate) mod micro;
 pub(crate) mod orders;
 pub(crate) mod overhead;
 pub(crate) mod plot;
--- a/crates/standin/src/bin/jaystand-bench.rs
+++ b/crates/standin/src/bin/jaystand-bench.rs
@@ -3,7 +3,11 @@
 #[path = "../bench/mod.rs"]
 mod bench;
 
-use std::process::ExitCode;
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    process::ExitCode,
+    sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering},
+};
 
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic as _;
@@ -26,8 +30,65 @@
     Faults(bench::faults::Options),
     Drain(bench::drain::Options),
     Control(bench::control::Options),
+    Orders(bench::orders::Options),
+    /// Measures the cost of one request decision.
+    Micro,
 }
 
+/// Whether allocations are counted. Only `micro` needs it; the other commands measure with several threads, which would
+/// share the counters' cache line.
+static COUNTED: AtomicBool = AtomicBool::new(false);
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+/// Bytes allocated less bytes freed since the count began; what was allocated before it may be freed later.
+static LIVE_BYTES: AtomicI64 = AtomicI64::new(0);
+
+/// The system's allocator with counters.
+struct Counting;
+
+fn count(allocations: u64, allocated: usize, freed: usize) {
+    if COUNTED.load(Ordering::Relaxed) {
+        ALLOCATIONS.fetch_add(allocations, Ordering::Relaxed);
+        LIVE_BYTES.fetch_add(
+            allocated.cast_signed() as i64 - freed.cast_signed() as i64,
+            Ordering::Relaxed,
+        );
+    }
+}
+
+#[allow(
+    unsafe_code,
+    reason = "an allocator can only be wrapped by unsafe code"
+)]
+// SAFETY: every call is passed on unchanged to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        count(1, layout.size(), 0);
+        // SAFETY: the caller keeps the contract of `GlobalAlloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn alloc_zeroed(&self, layout: Layout) -> *mut u8 {
+        count(1, layout.size(), 0);
+        // SAFETY: the caller keeps the contract of `GlobalAlloc`.
+        unsafe { System.alloc_zeroed(layout) }
+    }
+
+    unsafe fn realloc(&self, pointer: *mut u8, layout: Layout, size: usize) -> *mut u8 {
+        count(1, size, layout.size());
+        // SAFETY: the caller keeps the contract of `GlobalAlloc`.
+        unsafe { System.realloc(pointer, layout, size) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        count(0, 0, layout.size());
+        // SAFETY: the caller keeps the contract of `GlobalAlloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
 fn main() -> miette::Result<ExitCode> {
     let options = Options::parse();
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -51,5 +112,22 @@
         Command::Faults(options) => bench::faults::faults(options).await,
         Command::Control(options) => bench::control::run(options).await,
         Command::Drain(options) => bench::drain::drain(options).await,
+        Command::Orders(options) => bench::orders::run(options).await,
+        Command::Micro => Ok(micro()),
     }
 }
+
+fn micro() -> bool {
+    COUNTED.store(true, Ordering::Relaxed);
+    let table = bench::micro::run(bench::micro::Meter {
+        allocations: || ALLOCATIONS.load(Ordering::Relaxed),
+        live_bytes: || u64::try_from(LIVE_BYTES.load(Ordering::Relaxed)).unwrap_or(0),
+    });
+    print!("{table}");
+    println!(
+        "bound of {:?} at the target size: {}",
+        bench::micro::BOUND,
+        if table.holds() { "held" } else { "missed" }
+    );
+    table.holds()
+}
