Flush the chunks before a stand-in engine breaks its stream

Cause: `a_stream_that_cannot_be_completed_ends_with_an_error_event` failed once on a loaded machine. The stand-in depended on wall-clock time: when its reader ran late, the chunks before a `Drop` fault were ready together with the break, and hyper discards what it has not flushed when the body fails. The daemon then never got the seven chunks, in any attempt. The daemon is not at fault.

Change: the body is pending once before it fails, so that the connection is flushed. The daemon's test is unchanged. A test of the stand-in reads a finished job up to a break, where all chunks are ready at once.

The log of the original failure was not available, so that it had this cause is likely, not shown.

--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -154,6 +154,9 @@
                 Some(End::Whole) => return None,
                 Some(End::Break) => {
                     self.end = Some(End::Whole);
+                    // The connection flushes what was written only when the body is pending; an error right behind it
+                    // would discard it.
+                    tokio::task::yield_now().await;
                     return Some(Err(server::broken()));
                 }
                 Some(End::Silence) => std::future::pending().await,
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -186,6 +186,26 @@
     }
 }
 
+/// Guards against chunks that are lost because they were ready together with the break behind them, as happens to a
+/// reader on a loaded machine.
+#[tokio::test(start_paused = true)]
+async fn chunks_before_a_break_arrive_however_late_they_are_read() {
+    let handle = engine(|_| {});
+    let fault = |offset| Faults {
+        stream: vec![StreamFault::Drop(offset)],
+        ..Faults::default()
+    };
+    handle.set_faults(fault(2));
+    let first = ask(&handle, &[FIRST], "hello", 20).await;
+    assert!(first.broken);
+    // The rest is ready by then.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    handle.set_faults(fault(12));
+    let rest = ask(&handle, &[FIRST, ("last-event-id", "1")], "hello", 20).await;
+    assert!(rest.broken);
+    assert_eq!(rest.offsets(), (2..12).collect::<Vec<u32>>());
+}
+
 /// Guards against a continuation on another engine that changes the text.
 #[tokio::test(start_paused = true)]
 async fn another_engine_continues_the_same_text() {
