--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -122,10 +122,8 @@
             let status = StatusCode::METHOD_NOT_ALLOWED;
             return Err(Problem::request(status, "method_not_allowed", message));
         }
-        let configured = self.hub.configured().ok_or_else(|| {
-            let message = "the daemon has no configuration yet";
-            Problem::unavailable("not_ready", message, RETRY_AFTER)
-        })?;
+        let configured = self.hub.configured();
+        let configured = configured.ok_or_else(|| not_ready(request.headers()))?;
         let team = team(request.headers(), &configured)?;
         if let Target::Request(id) = target {
             return self.recall(id, &team);
@@ -240,6 +238,16 @@
     }
 }
 
+/// The daemon cannot tell yet whether an earlier request under a caller's key ran, so it does not say `not_run`.
+fn not_ready(headers: &HeaderMap) -> Problem {
+    let message = "the daemon has no configuration yet";
+    let mut problem = Problem::unavailable("not_ready", message, RETRY_AFTER);
+    if headers.contains_key(header::IDEMPOTENCY_KEY) {
+        problem.outcome = Outcome::Unknown;
+    }
+    problem
+}
+
 /// A request that the router has.
 pub(crate) struct Submitted {
     pub(crate) handle: Handle,
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     server::{self, Body, Standin, Switches},
-    service::{echo, refusal},
+    service::{echo_unless, refusal},
 };
 
 /// A running ledger.
@@ -171,12 +171,7 @@
             std::future::pending::<()>().await;
         }
         let mut response = server::json(StatusCode::OK, &receipt);
-        let echoed = if faults.wrong_request_id {
-            "ffffffffffffffff"
-        } else {
-            &id
-        };
-        echo(&mut response, echoed);
+        echo_unless(faults.wrong_request_id, &mut response, &id);
         Ok(response)
     }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -114,12 +114,7 @@
             return Err(server::broken());
         }
         let mut response = Response::new(server::full(body));
-        let echoed = if faults.wrong_request_id {
-            "ffffffffffffffff"
-        } else {
-            &id
-        };
-        echo(&mut response, echoed);
+        echo_unless(faults.wrong_request_id, &mut response, &id);
         Ok(response)
     }
 
@@ -150,6 +145,12 @@
     response
 }
 
+/// Echoes the request id, or the id of another request if `wrong`.
+pub(crate) fn echo_unless(wrong: bool, response: &mut Response<Body>, id: &str) {
+    let echoed = if wrong { "ffffffffffffffff" } else { id };
+    echo(response, echoed);
+}
+
 /// Echoes the request id.
 pub(crate) fn echo(response: &mut Response<Body>, id: &str) {
     if let Ok(value) = HeaderValue::from_str(id) {
