--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -116,3 +116,6 @@
     hasher.finalize_xof().fill(&mut bytes);
     u64::from_le_bytes(bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -164,3 +164,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
