Remove an unused function of the bench

Cause: request_id was kept by an allowance for dead code, and kill carried one although the orders bench uses it. Change: the function and both allowances are gone. Conclusion: no behaviour changes.

--- a/crates/standin/src/bench/cluster.rs
+++ b/crates/standin/src/bench/cluster.rs
@@ -129,7 +129,6 @@
     }
 
     /// Kills a daemon, as a crash does.
-    #[allow(dead_code, reason = "for subcommands that crash daemons")]
     pub(crate) async fn kill(&self, index: usize) {
         self.daemons[index].lock().await.kill().await;
     }
--- a/crates/standin/src/bench/run.rs
+++ b/crates/standin/src/bench/run.rs
@@ -7,7 +7,6 @@
     engine::{self, Faults, Record, Settings},
     fleet::Deployment,
 };
-use jaystand_types::RequestId;
 use tokio::{task::JoinSet, time::Instant};
 
 use super::{
@@ -152,9 +151,3 @@
     }
     by_prompt
 }
-
-/// Parses a rendered request id.
-#[allow(dead_code, reason = "for subcommands that match records by id")]
-pub(crate) fn request_id(answer: &Answer) -> Option<RequestId> {
-    jaystand_types::parse_request_id(&answer.request_id)
-}
