Stop asking servers whose address another one has taken

Cause: a server that crashed leaves its entry for some heartbeats. Its successor at the same address answers 421 for it, and the host paused the entry for 0.4 s only, then asked again. An answer by another instance now marks the incarnation as replaced, and an entry at the address of another one replaces the older of the two.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -55,6 +55,8 @@
     pub load: Load,
     missing_since: Option<Moment>,
     updating_until: Option<Moment>,
+    /// Whether another server listens at its address.
+    replaced: bool,
 }
 
 jaystand_types::common! { value
@@ -108,13 +110,14 @@
             load: Load::default(),
             missing_since: None,
             updating_until: None,
+            replaced: false,
         }
     }
 
     /// Whether it may get new requests, its health and weights aside.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        !self.entry.leaving
+        !self.entry.leaving && !self.replaced
     }
 
     /// Whether it changes its weights and refuses requests meanwhile.
@@ -216,6 +219,15 @@
         gone
     }
 
+    /// Notes that another server answered at the address of this one: this incarnation has ended, though its entry
+    /// may stay for some heartbeats. Returns whether that is news.
+    pub fn replaced(&mut self, key: ServerKey) -> bool {
+        match self.get_mut(key) {
+            Some(server) => !std::mem::replace(&mut server.replaced, true),
+            None => false,
+        }
+    }
+
     /// Notes a newer weights version of a server, as an answer or another host showed it.
     pub fn learn_version(&mut self, key: ServerKey, model: &str, version: Version) -> bool {
         let Some(server) = self.get_mut(key) else {
@@ -261,7 +273,19 @@
     }
 
     fn insert(&mut self, entry: Entry) {
-        let server = Server::new(entry);
+        let mut server = Server::new(entry);
+        // Only one process listens at an address: the one that started last.
+        for other in self.servers.values_mut() {
+            if other.entry.address != server.entry.address || other.entry.name == server.entry.name
+            {
+                continue;
+            }
+            if other.entry.born < server.entry.born {
+                other.replaced = true;
+            } else if other.entry.born > server.entry.born {
+                server.replaced = true;
+            }
+        }
         self.names.insert(server.key, server.entry.name.clone());
         self.servers.insert(server.entry.name.clone(), server);
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -376,17 +376,20 @@
         }
         if head.not_run {
             self.runs -= 1;
+            let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+            if misdirected && head.server.as_ref().is_some_and(|s| *s != self.server) {
+                self.hub.note_replaced(server, "answer");
+            }
             // The right server that is misdirected has changed its weights.
-            let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST
-                && head.server.as_ref() != Some(&self.server);
-            let outcome = if misdirected {
+            let outcome = if misdirected && head.server.as_ref() != Some(&self.server) {
                 Outcome::Unreachable
             } else {
                 Outcome::Busy
             };
             self.fail(server, outcome);
             log::info!(request = self.id.as_str(), server = self.server.as_str(),
-                status = head.status.as_u16(); "the server refused the request");
+                status = head.status.as_u16(),                 answered_by = head.server.as_deref().unwrap_or_default();
+                "the server refused the request");
             return Use::Drain;
         }
         let genuine = head.sealed && head.identity == Identity::Own && !head.encoded;
