Limit how often hosts send news of weight updates

The host that holds the weight orders sent a whole or brief report to all 60 others at each begin and end of an update. Logs of that host, seconds 14 to 21: plain answers after 250 to 640 ms (5 to 40 on others), "cannot connect for an order: timed out" 16 times in a round, rounds of 17 orders 3 s apart instead of one. News now state only what just changed, at most every 50 ms; regular reports state the rest.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod reach;
+pub mod report;
 pub mod weights;
 
 use compact_str::CompactString;
--- /dev/null
+++ b/crates/dispatch/src/report.rs
@@ -0,0 +1,44 @@
+//! When hosts tell each other what, so that reports do not fill the links of small hosts.
+//!
+//! The load that this answers: on cairn-quito-grown the holder of the weight orders sent a whole report to 60 hosts
+//! at the beginning and end of each update. Its link of 10 Mbit/s was full for seconds, so that its requests and
+//! the next orders timed out.
+
+use std::time::Duration;
+
+use jaystand_types::Moment;
+
+/// News go out at most this often. To 60 hosts, the 200 bytes of a round's news are then 2.4 Mbit/s.
+const NEWS_GAP: Duration = Duration::from_millis(50);
+/// Updates that changed within this time are news; regular reports state all of them.
+const NEWS_AGE: Duration = Duration::from_millis(250);
+/// Every so many reports, the hosts that got no whole one get a brief one.
+const BRIEF_EVERY: u32 = 2;
+
+/// When reports go out.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule {
+    reports: u32,
+    last_news: Option<Moment>,
+}
+
+impl Schedule {
+    /// Counts a regular report. Returns whether the hosts that it does not go to get a brief one.
+    pub fn regular(&mut self) -> bool {
+        self.reports = self.reports.wrapping_add(1);
+        self.reports.is_multiple_of(BRIEF_EVERY)
+    }
+
+    /// Takes in that there are news. Returns when they may go out, with those that come until then.
+    pub fn news(&mut self, now: Moment) -> Moment {
+        let due = self.last_news.map_or(now, |last| now.max(last + NEWS_GAP));
+        self.last_news = Some(due);
+        due
+    }
+}
+
+/// Whether an update that changed at `since` still is news.
+#[must_use]
+pub fn is_news(now: Moment, since: Moment) -> bool {
+    now.saturating_sub(since) < NEWS_AGE
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,7 +9,12 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
-use jaystand_dispatch::{lease::Record, load::Load, weights::Age};
+use jaystand_dispatch::{
+    lease::Record,
+    load::Load,
+    report::{self, Schedule},
+    weights::Age,
+};
 use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
 use prost::Message;
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
@@ -17,7 +22,7 @@
 use serde_json::value::RawValue;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -30,8 +35,6 @@
 const PERIOD: Duration = Duration::from_millis(200);
 /// Hosts that a whole report goes to at most.
 const MOST_RECEIVERS: usize = 8;
-/// Every so many reports, all other hosts get a brief one.
-const BRIEF_EVERY: u32 = 2;
 /// Shared parts are reported for this long, since reports may be lost.
 const PARTS_REPEATED: Duration = Duration::from_millis(450);
 /// Parts that a report names at most.
@@ -84,13 +87,24 @@
     abandoned_fence: Option<u64>,
     #[prost(message, repeated, tag = "13")]
     parts: Vec<PartEntry>,
-    /// Whether only loads, updates and parts are stated.
-    #[prost(bool, tag = "14")]
-    brief: bool,
+    #[prost(enumeration = "Scope", tag = "14")]
+    scope: i32,
     #[prost(uint64, tag = "15")]
     servers_changed: u64,
 }
 
+/// What a report states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+enum Scope {
+    /// Everything.
+    Whole = 0,
+    /// Loads, updates and parts, which placement needs.
+    Brief = 1,
+    /// Updates that have just changed.
+    News = 2,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct LeaseEntry {
     #[prost(uint64, tag = "1")]
@@ -158,17 +172,24 @@
 
 /// Reports to other hosts for as long as the process runs.
 ///
-/// A few hosts, others each time, get a whole report; all others get a brief one, which has what placement needs.
+/// A few hosts, others each time, get a whole report; all others get a brief one. What must be known at once goes to
+/// all as news.
 pub(crate) async fn report(hub: Rc<Hub>, socket: Rc<UdpSocket>) {
     let mut ticks = hub.timer.every(PERIOD);
     let mut seeds_tried = Moment::ZERO;
-    let mut number: u32 = 0;
+    let mut schedule = Schedule::default();
     loop {
-        let urgent = tokio::select! {
-            _ = ticks.tick() => false,
-            () = hub.report_now.notified() => true,
-        };
-        number = number.wrapping_add(1);
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = hub.report_now.notified() => {
+                let due = schedule.news(hub.now());
+                sleep(due.saturating_sub(hub.now())).await;
+                let now = hub.now();
+                let news = compose(&hub, now).news(&hub, now);
+                send(&hub, &socket, &news, &live_hosts(&hub, now)).await;
+                continue;
+            }
+        }
         let now = hub.now();
         let mut others = live_hosts(&hub, now);
         others.shuffle(&mut rand::rng());
@@ -184,7 +205,7 @@
         }
         let whole = compose(&hub, now);
         send(&hub, &socket, &whole, &receivers).await;
-        if urgent || number.is_multiple_of(BRIEF_EVERY) {
+        if schedule.regular() {
             send(&hub, &socket, &whole.shortened(), &rest).await;
         }
     }
@@ -217,7 +238,25 @@
             loads: self.loads.clone(),
             updates: self.updates.clone(),
             parts: self.parts.clone(),
-            brief: true,
+            scope: Scope::Brief.into(),
+            ..Self::default()
+        }
+    }
+
+    /// The part of a report that must be known at once.
+    fn news(self, hub: &Hub, now: Moment) -> Self {
+        let state = hub.state.borrow();
+        let recent = |entry: &UpdateEntry| {
+            let update = state.updates.get(&entry.server);
+            update.is_some_and(|update| report::is_news(now, update.since))
+        };
+        Self {
+            incarnation: self.incarnation,
+            stopping: self.stopping,
+            lease: self.lease,
+            abandoned_fence: self.abandoned_fence,
+            updates: self.updates.into_iter().filter(recent).collect(),
+            scope: Scope::News.into(),
             ..Self::default()
         }
     }
@@ -288,7 +327,7 @@
                 memory: server.load.memory / TOKEN_UNIT,
             })
             .collect(),
-        brief: false,
+        scope: Scope::Whole.into(),
         parts: state
             .fresh_parts
             .iter()
@@ -371,10 +410,20 @@
                 state.hosts.entry(address).or_insert(new);
             }
         }
-        if report.brief {
-            state.hosts.entry(from).or_default().seen = now;
-        } else {
-            take_in_whole(hub, &mut state, now, from, report);
+        let former = state.hosts.get(&from).is_some_and(|host| host.stopping);
+        if report.stopping && !former {
+            hub.lease_doubted.set(true);
+            hub.weights_changed.notify_one();
+        }
+        let host = state.hosts.entry(from).or_default();
+        host.seen = now;
+        host.stopping = report.stopping;
+        if report.scope() == Scope::Whole {
+            take_in_whole(&mut state, now, from, report);
+        }
+        if report.abandoned_fence.is_some() && hub.lease_abandoned.get() < report.abandoned_fence {
+            hub.lease_abandoned.set(report.abandoned_fence);
+            hub.weights_changed.notify_one();
         }
         if let Some(lease) = &report.lease {
             let record = Record {
@@ -398,7 +447,9 @@
             };
             (entry.server, load)
         });
-        state.peers.report(now, from, loads);
+        if report.scope() != Scope::News {
+            state.peers.report(now, from, loads);
+        }
         for update in &report.updates {
             let Some(server) = state.directory.get_mut(update.server) else {
                 continue;
@@ -419,7 +470,7 @@
 }
 
 /// Takes in what only whole reports state.
-fn take_in_whole(hub: &Hub, state: &mut State, now: Moment, from: IpAddr, report: &Report) {
+fn take_in_whole(state: &mut State, now: Moment, from: IpAddr, report: &Report) {
     let host = Host {
         seen: now,
         config_version: report.config_version,
@@ -428,18 +479,10 @@
         connected: report.connected,
         stopping: report.stopping,
     };
-    let former = state.hosts.insert(from, host);
-    if report.stopping && !former.is_some_and(|host| host.stopping) {
-        hub.lease_doubted.set(true);
-        hub.weights_changed.notify_one();
-    }
+    state.hosts.insert(from, host);
     state
         .reach
         .heard(now, &DataCentre::from(report.data_centre.as_str()));
-    if report.abandoned_fence.is_some() && hub.lease_abandoned.get() < report.abandoned_fence {
-        hub.lease_abandoned.set(report.abandoned_fence);
-        hub.weights_changed.notify_one();
-    }
 }
 
 /// Serves copies to other hosts.
