--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -85,6 +85,11 @@
     /// Recent requests.
     #[command(subcommand)]
     Request(Request),
+    /// Tell the story of one request from the logs of several daemons.
+    #[command(
+        after_help = "Example:\n  jaystand trace 9c41d07be2a35f68 host-1.log host-2.log --context"
+    )]
+    Trace(Trace),
     /// Settings files of the daemon.
     #[command(subcommand)]
     Settings(Settings),
@@ -262,6 +267,18 @@
     },
 }
 
+#[derive(Debug, Args)]
+pub(crate) struct Trace {
+    /// Identity of the request, as its caller sent it.
+    pub(crate) id: String,
+    /// Logs (a JSON object a line); `-` reads standard input.
+    #[arg(required = true, value_name = "FILE")]
+    pub(crate) files: Vec<PathBuf>,
+    /// Show also what its hosts noted of themselves and of its servers, from five seconds before on.
+    #[arg(long)]
+    pub(crate) context: bool,
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Settings {
     /// Check a settings file with the daemon's own checks.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod sheet;
 mod team;
+mod trace;
 
 use clap::{CommandFactory, Parser};
 
@@ -52,6 +53,7 @@
         Command::Host(command) => inspect::hosts(&command, &client()?, output).await,
         Command::Explain(question) => inspect::explain(question, &client()?, output).await,
         Command::Request(command) => inspect::request(command, &client()?, output).await,
+        Command::Trace(command) => trace::run(&command, output),
         Command::Settings(command) => settings::run(&command, output),
         Command::LogLevel { level } => inspect::log_level(&level, &client()?, output).await,
         Command::Completions { shell } => {
--- a/crates/cli/tests/offline.rs
+++ b/crates/cli/tests/offline.rs
@@ -124,3 +124,37 @@
         assert!(script.contains("rollback"), "{shell}");
     }
 }
+
+/// Guards against a story that leaves out a host, mixes other requests in, or ends at a broken line.
+#[test]
+fn a_request_is_traced_through_the_logs_of_two_hosts() {
+    let scratch = Scratch::new("trace");
+    let line = |time: f64, host: &str, rest: &str| {
+        format!(
+            "{{\"time\":{time},\"level\":\"INFO\",\"target\":\"t\",\"host\":\"{host}\",{rest}}}\n"
+        )
+    };
+    let end =
+        "\"message\":\"request ended\",\"request\":\"r-1\",\"status\":503,\"reason\":\"attempts\"";
+    let refused = "\"message\":\"the server refused the request\",\"request\":\"r-1\",\"server\":\"i-7\",\"status\":421";
+    let gone = "\"message\":\"another server listens at its address; the server is gone\",\"server\":\"i-7\"";
+    let one = line(101.25, "one", end)
+        + &line(101.2, "one", refused)
+        + &line(101.2, "one", &refused.replace("r-1", "r-2"))
+        + "{\"time\":101.3,\"mess\n\n"
+        + &line(101.1, "one", &gone.replace("i-7", "i-8"));
+    scratch.write("one.log", one);
+    let two = line(
+        104.5,
+        "two",
+        &end.replace("503", "200").replace("attempts", "answered"),
+    ) + &format!("2026-12-04 two: {}", line(99.0, "two", gone))
+        + &line(90.0, "two", gone);
+    scratch.write("two.log", two);
+    let mut all = scratch.run(&["trace", "r-1", "one.log", "two.log"]);
+    all += &scratch.run(&["trace", "r-1", "one.log", "two.log", "--context"]);
+    all += &scratch.run(&["trace", "r-1", "two.log", "--json"]);
+    all += &scratch.run(&["trace", "r-9", "one.log"]);
+    all += &scratch.run(&["trace", "r-1", "none.log"]);
+    insta::assert_snapshot!(all);
+}
