Bound the reports of large fleets

Now 64 hosts get one each time, others each time, and the loads that are heard stand for all. News go out less often in larger fleets. The hosts that share the retry budget are those known, not those that reported in the last 1.5 s, which with sampling would be too few. Ruled out: scaling loads at the sizes of today (below 65 hosts every host is heard, and nothing is scaled).

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -6,7 +6,7 @@
 use jaystand_types::Moment;
 use smallvec::SmallVec;
 
-use crate::ServerKey;
+use crate::{ServerKey, report};
 
 /// A host whose last report is older than this is taken as gone. Reports come several times a second.
 const PEER_EXPIRY: Duration = Duration::from_millis(1_500);
@@ -39,6 +39,20 @@
         self.memory = self.memory.saturating_sub(other.memory);
     }
 
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "loads are not negative and far below 2^52"
+    )]
+    fn scaled(self, factor: f64) -> Self {
+        Self {
+            active: (f64::from(self.active) * factor).round() as u32,
+            prefill: (self.prefill as f64 * factor) as u64,
+            memory: (self.memory as f64 * factor) as u64,
+        }
+    }
+
     /// Whether there is no work.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -51,6 +65,8 @@
 pub struct Peers<P> {
     reports: HashMap<P, Report>,
     totals: HashMap<ServerKey, Load>,
+    /// Part of the other hosts whose reports are at hand.
+    heard: f64,
 }
 
 impl<P> Default for Peers<P> {
@@ -58,6 +74,7 @@
         Self {
             reports: HashMap::new(),
             totals: HashMap::new(),
+            heard: 1.0,
         }
     }
 }
@@ -88,8 +105,9 @@
         }
     }
 
-    /// Forgets peers that have not reported for a while.
-    pub fn expire(&mut self, now: Moment) {
+    /// Forgets peers that have not reported for a while, in a fleet of so many hosts.
+    pub fn expire(&mut self, now: Moment, hosts: usize) {
+        self.heard = report::heard_share(hosts, PEER_EXPIRY);
         let late = |report: &Report| now.saturating_sub(report.at) > PEER_EXPIRY;
         let gone: Vec<P> = self
             .reports
@@ -104,10 +122,15 @@
         }
     }
 
-    /// Load on a server by all peers.
+    /// Load on a server by all peers. In large fleets a part of them reports, which stands for the others.
     #[must_use]
     pub fn total(&self, server: ServerKey) -> Load {
-        self.totals.get(&server).copied().unwrap_or_default()
+        let load = self.totals.get(&server).copied().unwrap_or_default();
+        if self.heard < 1.0 {
+            load.scaled(1.0 / self.heard)
+        } else {
+            load
+        }
     }
 
     /// Number of peers that report.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -12,8 +12,15 @@
 const NEWS_GAP: Duration = Duration::from_millis(50);
 /// Updates that changed within this time are news; regular reports state all of them.
 const NEWS_AGE: Duration = Duration::from_millis(250);
-/// Every so many reports, the hosts that got no whole one get a brief one.
+/// In larger fleets news go out less often, so that the bytes stay the same.
+const NEWS_HOSTS: u32 = 60;
+/// Regular reports go out this often; with six hosts this is about 5 KB/s a host.
+pub const PERIOD: Duration = Duration::from_millis(200);
+/// Every so many reports, hosts that got no whole one get a brief one.
 const BRIEF_EVERY: u32 = 2;
+/// Hosts that get a brief report each time, others each time. More would make the reports grow with the square
+/// of the fleet: at 300 hosts a fifth of a small host's processor would go into taking them in.
+pub const MOST_BRIEF: usize = 64;
 
 /// When reports go out.
 #[derive(Clone, Debug, Default)]
@@ -30,8 +37,10 @@
     }
 
     /// Takes in that there are news. Returns when they may go out, with those that come until then.
-    pub fn news(&mut self, now: Moment) -> Moment {
-        let due = self.last_news.map_or(now, |last| now.max(last + NEWS_GAP));
+    pub fn news(&mut self, now: Moment, hosts: usize) -> Moment {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let gap = NEWS_GAP * hosts.max(NEWS_HOSTS) / NEWS_HOSTS;
+        let due = self.last_news.map_or(now, |last| now.max(last + gap));
         self.last_news = Some(due);
         due
     }
@@ -42,3 +51,15 @@
 pub fn is_news(now: Moment, since: Moment) -> bool {
     now.saturating_sub(since) < NEWS_AGE
 }
+
+/// Part of a fleet's hosts whose reports a host has at any time, when loads count for `kept`.
+#[must_use]
+pub fn heard_share(hosts: usize, kept: Duration) -> f64 {
+    if hosts <= MOST_BRIEF {
+        return 1.0;
+    }
+    let hosts = f64::from(u32::try_from(hosts).unwrap_or(u32::MAX));
+    let most = f64::from(u32::try_from(MOST_BRIEF).unwrap_or(u32::MAX));
+    let rounds = kept.as_secs_f64() / (PERIOD * BRIEF_EVERY).as_secs_f64();
+    1.0 - (1.0 - most / hosts).powf(rounds)
+}
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -237,7 +237,7 @@
         home
     );
     // A host that falls silent no longer counts.
-    world.peers.expire(ms(5_000));
+    world.peers.expire(ms(5_000), 2);
     assert_eq!(
         world
             .place(ms(5_000), &prompt, &[])
--- a/crates/dispatch/tests/report.rs
+++ b/crates/dispatch/tests/report.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use jaystand_dispatch::report::{self, Schedule};
+use jaystand_dispatch::{
+    load::{Load, Peers},
+    report::{self, MOST_BRIEF, PERIOD, Schedule},
+};
+use rand::{SeedableRng as _, seq::SliceRandom as _};
+use rand_pcg::Pcg64Mcg;
 use support::ms;
 
 /// The load of a round of weight updates on 89 engines: 17 begin, and 17 end, within some milliseconds of each other,
@@ -17,7 +22,7 @@
         let now = ms(change * 5);
         // Changes that come while news wait go out with them.
         if now >= free_at {
-            free_at = schedule.news(now);
+            free_at = schedule.news(now, 60);
             sent += 1;
         }
     }
@@ -28,9 +33,9 @@
 #[test]
 fn the_first_news_go_out_at_once() {
     let mut schedule = Schedule::default();
-    assert_eq!(schedule.news(ms(700)), ms(700));
-    assert_eq!(schedule.news(ms(710)), ms(750));
-    assert_eq!(schedule.news(ms(2_000)), ms(2_000));
+    assert_eq!(schedule.news(ms(700), 60), ms(700));
+    assert_eq!(schedule.news(ms(710), 60), ms(750));
+    assert_eq!(schedule.news(ms(2_000), 60), ms(2_000));
 }
 
 /// Guards against news that state updates of long ago, and against updates that no news states.
@@ -48,3 +53,38 @@
     let brief = (0..10).filter(|_| schedule.regular()).count();
     assert_eq!(brief, 5);
 }
+
+/// Guards against loads that are taken for too small in a fleet where only some hosts are heard: 300 hosts with one
+/// request each on a server, of which each round 64 report to this host.
+#[test]
+fn the_hosts_that_are_heard_stand_for_all() {
+    const HOSTS: u32 = 300;
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let mut peers = Peers::default();
+    let load = Load {
+        active: 1,
+        prefill: 1_000,
+        memory: 500,
+    };
+    for round in 0..20 {
+        let now = PERIOD * 2 * round;
+        let mut hosts: Vec<u32> = (0..HOSTS).collect();
+        hosts.shuffle(&mut random);
+        for host in &hosts[..MOST_BRIEF] {
+            peers.report(now, *host, [(7, load)]);
+        }
+        peers.expire(now, 300);
+        if round >= 5 {
+            let total = peers.total(7);
+            assert!((240..=360).contains(&total.active), "{total:?}");
+            assert!((240_000..=360_000).contains(&total.prefill), "{total:?}");
+        }
+    }
+}
+
+/// Guards against scaled loads in a fleet whose hosts all hear each other, some of which have just gone.
+#[test]
+fn in_a_small_fleet_each_host_counts_for_itself() {
+    assert!((report::heard_share(61, ms(1_500)) - 1.0).abs() < f64::EPSILON);
+    assert!(report::heard_share(300, ms(1_500)) < 0.7);
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -402,7 +402,8 @@
 
     /// Hosts that share the retry budget, this one included.
     pub(crate) fn hosts(&self) -> usize {
-        self.state.borrow().peers.len() + 1
+        let state = self.state.borrow();
+        state.hosts.len().max(state.peers.len()) + 1
     }
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -31,8 +31,6 @@
     link::Link,
 };
 
-/// Reports go out this often; with six hosts this is about 5 KB/s a host.
-const PERIOD: Duration = Duration::from_millis(200);
 /// Hosts that a whole report goes to at most.
 const MOST_RECEIVERS: usize = 8;
 /// Shared parts are reported for this long, since reports may be lost.
@@ -175,14 +173,14 @@
 /// A few hosts, others each time, get a whole report; all others get a brief one. What must be known at once goes to
 /// all as news.
 pub(crate) async fn report(hub: Rc<Hub>, socket: Rc<UdpSocket>) {
-    let mut ticks = hub.timer.every(PERIOD);
+    let mut ticks = hub.timer.every(report::PERIOD);
     let mut seeds_tried = Moment::ZERO;
     let mut schedule = Schedule::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = hub.report_now.notified() => {
-                let due = schedule.news(hub.now());
+                let due = schedule.news(hub.now(), hub.hosts());
                 sleep(due.saturating_sub(hub.now())).await;
                 let now = hub.now();
                 let news = compose(&hub, now).news(&hub, now);
@@ -193,7 +191,8 @@
         let now = hub.now();
         let mut others = live_hosts(&hub, now);
         others.shuffle(&mut rand::rng());
-        let rest = others.split_off(others.len().min(MOST_RECEIVERS));
+        let mut rest = others.split_off(others.len().min(MOST_RECEIVERS));
+        rest.truncate(report::MOST_BRIEF);
         let mut receivers = others;
         if now.saturating_sub(seeds_tried) >= SEED_PERIOD {
             seeds_tried = now;
@@ -267,7 +266,8 @@
     state
         .hosts
         .retain(|_, host| now.saturating_sub(host.seen) < HOST_EXPIRY);
-    state.peers.expire(now);
+    let hosts = state.hosts.len();
+    state.peers.expire(now, hosts);
     hub.metrics
         .peers
         .set(i64::try_from(state.peers.len()).unwrap_or(i64::MAX));
