List the models of a team at GET /v1/models

Cause: OpenAI clients ask for the list to fill theirs, and got 404. The daemon answers now with the models that the caller's team may use, in the order of its rules. Ruled out: a list of all models, which would show a team those of others.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -9,7 +9,7 @@
     plugin::{Running, Stage, Started},
 };
 use jaystand_sheet::{Document, Faults, Rule, Sheet, Target};
-use jaystand_types::{TeamId, Version};
+use jaystand_types::{Model, TeamId, Version};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
@@ -140,6 +140,21 @@
             .find(|rule| matches!(&rule.target, Target::Model(name) if name == model))
     }
 
+    /// The models that a team may use, in the order of its rules.
+    #[must_use]
+    pub fn models(&self, team: &str) -> Vec<&Model> {
+        let rules = self.rules.get(team).map_or(&[][..], Vec::as_slice);
+        let mut models: Vec<&Model> = Vec::new();
+        for rule in rules {
+            if let Target::Model(model) = &rule.target
+                && !models.contains(&model)
+            {
+                models.push(model);
+            }
+        }
+        models
+    }
+
     /// The weights version in use of a model; empty when the directory does not list it.
     #[must_use]
     pub fn weights_version(&self, model: &str) -> CompactString {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -36,6 +36,7 @@
 /// When to come back while the daemon has no configuration or a full queue.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const MAX_KEY_BYTES: usize = 255;
+const MODELS_PATH: &str = "/v1/models";
 
 /// What serves callers.
 pub(crate) struct Entry {
@@ -125,8 +126,10 @@
         let configured = self.hub.configured();
         let configured = configured.ok_or_else(|| not_ready(request.headers()))?;
         let team = team(request.headers(), &configured)?;
-        if let Target::Request(id) = target {
-            return self.recall(id, &team);
+        match target {
+            Target::Request(id) => return self.recall(id, &team),
+            Target::Models => return Ok(models(id, &team, &configured)),
+            Target::Chat | Target::Service(_) => {}
         }
         let arrived = self.hub.now();
         let (head, body) = request.into_parts();
@@ -142,7 +145,7 @@
         match target {
             Target::Chat => chat::complete(self, call).await,
             Target::Service(kind) => service::call(self, call, &kind).await,
-            Target::Request(_) => Err(unknown_path("")),
+            Target::Request(_) | Target::Models => Err(unknown_path("")),
         }
     }
 
@@ -158,11 +161,7 @@
             "state": record.state,
             "outcome": record.outcome,
         });
-        let mut response = Response::new(Body::from(body.to_string().into_bytes()));
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        insert(headers, header::REQUEST_ID, &render_request_id(id));
-        Ok(response)
+        Ok(json(id, &body))
     }
 
     async fn read(&self, body: Incoming) -> Result<Bytes, Problem> {
@@ -238,6 +237,27 @@
     }
 }
 
+/// The models that the caller's team may use, as OpenAI clients read them to fill their lists.
+fn models(id: RequestId, team: &str, configured: &Configured) -> Response<Body> {
+    let names = configured.active.models(team);
+    // Clients want the field `created`; models have no such date here.
+    let list: Vec<_> = names
+        .iter()
+        .map(|name| {
+            serde_json::json!({"id": name, "object": "model", "created": 0, "owned_by": "jaystand"})
+        })
+        .collect();
+    json(id, &serde_json::json!({"object": "list", "data": list}))
+}
+
+fn json(id: RequestId, body: &serde_json::Value) -> Response<Body> {
+    let mut response = Response::new(Body::from(body.to_string().into_bytes()));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    insert(headers, header::REQUEST_ID, &render_request_id(id));
+    response
+}
+
 /// The daemon cannot tell yet whether an earlier request under a caller's key ran, so it does not say `not_run`.
 fn not_ready(headers: &HeaderMap) -> Problem {
     let message = "the daemon has no configuration yet";
@@ -279,6 +299,7 @@
 
 enum Target {
     Chat,
+    Models,
     Service(String),
     Request(Option<RequestId>),
 }
@@ -288,6 +309,9 @@
         if path == jaystand_wire::engine::CHAT_PATH {
             return Some(Self::Chat);
         }
+        if path == MODELS_PATH {
+            return Some(Self::Models);
+        }
         if let Some(id) = path.strip_prefix("/v1/requests/") {
             return Some(Self::Request(parse_request_id(id)));
         }
@@ -299,7 +323,7 @@
     fn method(&self) -> Method {
         match self {
             Self::Chat | Self::Service(_) => Method::POST,
-            Self::Request(_) => Method::GET,
+            Self::Request(_) | Self::Models => Method::GET,
         }
     }
 }
