Log requests that the end of the process cuts as such

The reason is now `the process ended before the answer`. Only a log text changes; there is no test of its own, since the line is written while the process ends.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -81,13 +81,18 @@
     _open: Open,
 }
 
-/// Status under which requests are logged whose caller left before the answer.
-const CALLER_GONE: u16 = 499;
+/// Status under which requests are logged that ended without an answer.
+const NO_ANSWER: u16 = 499;
 
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended.get() {
-            self.log_end(CALLER_GONE, "caller gone before the answer");
+            let reason = if self.hub.ended.get() {
+                "the process ended before the answer"
+            } else {
+                "caller gone before the answer"
+            };
+            self.log_end(NO_ANSWER, reason);
         }
     }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -61,6 +61,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// When the process was asked to stop.
     pub(crate) stopped_at: Cell<Option<Moment>>,
+    /// Set when the process ends; requests that are still open are dropped then.
+    pub(crate) ended: Cell<bool>,
     /// Set when the lease on weight orders may have been given up.
     pub(crate) lease_doubted: Cell<bool>,
     /// What another host last reported as the lease that it holds, by the clock that counts suspensions.
@@ -178,6 +180,7 @@
             report_now: Notify::new(),
             stopping: watch::Sender::new(false),
             stopped_at: Cell::new(None),
+            ended: Cell::new(false),
             lease_doubted: Cell::new(false),
             lease_heard: RefCell::new(None),
             lease_held: RefCell::new(None),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -146,6 +146,7 @@
         }
     }
     log::info!(open = hub.open.get(), took_ms = whole_ms(started.elapsed()); "stopped");
+    hub.ended.set(true);
 }
 
 /// Tries to connect to a server of each data centre in doubt, so that it is used again once it answers.
