--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -221,7 +221,7 @@
 
     /// Notes that another server answered at the address of this one: this incarnation has ended, though its entry
     /// may stay for some heartbeats. Returns whether that is news.
-    pub fn replaced(&mut self, key: ServerKey) -> bool {
+    pub fn mark_replaced(&mut self, key: ServerKey) -> bool {
         match self.get_mut(key) {
             Some(server) => !std::mem::replace(&mut server.replaced, true),
             None => false,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -62,6 +62,8 @@
 const BEGIN_MARGIN: u32 = 3;
 /// Part of an engine's memory that running requests may fill before waiting is expected.
 const MEMORY_PART: f64 = 0.85;
+/// Memory that must become free delays a first token by this many times the time to compute as many tokens.
+const MEMORY_WAIT: f64 = 2.0;
 /// A failing server looks this many times slower when all of its recent attempts failed.
 const ERROR_FACTOR: f64 = 6.0;
 /// Milliseconds of a plain answer, and for each request ahead, per slot.
@@ -370,7 +372,7 @@
         let excess = as_f64(load.memory + prompt.memory()) - memory * MEMORY_PART;
         if excess > 0.0 {
             // Engines begin a short urgent prompt before the long ones that wait for more memory.
-            ms += 2.0 * excess.min(as_f64(prompt.memory())) / TOKENS_PER_MS;
+            ms += MEMORY_WAIT * excess.min(as_f64(prompt.memory())) / TOKENS_PER_MS;
         }
         ms *= server.health.pace(now) * (1.0 + ERROR_FACTOR * server.health.errors(now).powi(2));
         ms += f64::from(u32::try_from(server.entry.cold.as_millis().min(500)).unwrap_or(0)) * 0.1;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -18,8 +18,8 @@
 pub const PERIOD: Duration = Duration::from_millis(200);
 /// Every so many reports, hosts that got no whole one get a brief one.
 const BRIEF_EVERY: u32 = 2;
-/// Hosts that get a brief report each time, others each time. More would make the reports grow with the square
-/// of the fleet: at 300 hosts a fifth of a small host's processor would go into taking them in.
+/// Hosts that get a brief report each time, others each time. With reports to all, which grow with the square of
+/// the fleet, a host used 11.5 % of its processor and sent 98 KB/s in the users' sweep to 300 hosts.
 pub const MOST_BRIEF: usize = 64;
 
 /// When reports go out.
--- a/crates/dispatch/tests/state.rs
+++ b/crates/dispatch/tests/state.rs
@@ -68,8 +68,8 @@
     let mut directory = Directory::default();
     directory.upsert(engine(1, 1));
     let key = engine(1, 1).key();
-    assert!(directory.replaced(key));
-    assert!(!directory.replaced(key), "it is replaced once");
+    assert!(directory.mark_replaced(key));
+    assert!(!directory.mark_replaced(key), "it is replaced once");
     // A late write of the former server changes nothing.
     directory.upsert(engine(1, 2));
     assert!(!directory.get(key).expect("known").takes_work());
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -393,7 +393,7 @@
             };
             self.fail(server, outcome);
             log::info!(request = self.id.as_str(), server = self.server.as_str(),
-                status = head.status.as_u16(),                 answered_by = head.server.as_deref().unwrap_or_default();
+                status = head.status.as_u16(), answered_by = head.server.as_deref().unwrap_or_default();
                 "the server refused the request");
             return Use::Drain;
         }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -332,7 +332,7 @@
     /// Notes that another server answered at the address of this one.
     pub(crate) fn note_replaced(&self, server: ServerKey, source: &str) {
         let mut state = self.state.borrow_mut();
-        if state.directory.replaced(server) {
+        if state.directory.mark_replaced(server) {
             let name = state.directory.get(server).map(|s| s.entry.name.clone());
             let name = name.unwrap_or_default();
             log::info!(server = name.as_str(), source; "another server listens at its address; the server is gone");
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -410,8 +410,8 @@
                 state.hosts.entry(address).or_insert(new);
             }
         }
-        let former = state.hosts.get(&from).is_some_and(|host| host.stopping);
-        if report.stopping && !former {
+        let was_stopping = state.hosts.get(&from).is_some_and(|host| host.stopping);
+        if report.stopping && !was_stopping {
             hub.lease_doubted.set(true);
             hub.weights_changed.notify_one();
         }
