--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -237,7 +237,7 @@
     }
 }
 
-/// The models that the caller's team may use, as OpenAI clients read them to fill their lists.
+/// The models that the caller's team may use, in the form in which clients of the `OpenAI` API fill their lists.
 fn models(id: RequestId, team: &str, configured: &Configured) -> Response<Body> {
     let names = configured.active.models(team);
     // Clients want the field `created`; models have no such date here.
