Call a team a team in the policy crate

They are `roster::Team` and `roster::Roster` now. Ruled out: `team`, which holds the public shares and limits. No behaviour, test or bound changes.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -8,7 +8,7 @@
     health::State,
     placement::Choice,
     queue::{self, Entry},
-    tenant::{Limited, Typical},
+    roster::{Limited, Typical},
     timer::Due,
 };
 
@@ -38,10 +38,10 @@
             actions.push(refusal(id, Refusal::DeadlinePassed, 0.0, Outcome::NotRun));
             return;
         }
-        let member = self.tenants.member(&request.team, &request.kind);
-        self.tenants.activate(member.team);
+        let member = self.teams.member(&request.team, &request.kind);
+        self.teams.activate(member.team);
         let daemons = self.daemons;
-        if let Err(limited) = self.tenants.kind_mut(member).admit(now, daemons) {
+        if let Err(limited) = self.teams.kind_mut(member).admit(now, daemons) {
             let pause = match limited {
                 Limited::InFlight => LIMIT_PAUSE,
                 Limited::Rate(seconds) => seconds,
@@ -54,7 +54,7 @@
             self.hedges.earn();
             self.latest_urgent = Some(now);
         }
-        let predicted = self.tenants.kind(member).predict(request.expected_tokens);
+        let predicted = self.teams.kind(member).predict(request.expected_tokens);
         self.typical.observe(predicted);
         let seconds = self.service_seconds(&request, predicted);
         let scale = self.scale(&request);
@@ -293,7 +293,7 @@
                     return (0, 0.0, entry.sequence);
                 }
                 let class = entry.aged_class(now, &self.settings);
-                let time = self.tenants.tenant(entry.team).virtual_time;
+                let time = self.teams.team(entry.team).virtual_time;
                 (class, time, entry.sequence)
             },
             |entry| {
--- a/crates/policy/src/flight.rs
+++ b/crates/policy/src/flight.rs
@@ -3,7 +3,7 @@
 use jaystand_types::{Moment, Outcome, RepeatRule, ServerId};
 use smallvec::SmallVec;
 
-use crate::{Attempt, Request, tenant::Member};
+use crate::{Attempt, Request, roster::Member};
 
 /// Where a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,11 +24,11 @@
 mod queue;
 mod recovery;
 pub mod request;
+mod roster;
 pub mod router;
 pub mod server;
 mod settings;
 pub mod team;
-mod tenant;
 mod timer;
 mod window;
 
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -88,8 +88,8 @@
             flight.charged = flight.predicted
                 + BASE_CHARGE
                 + PROMPT_CHARGE * f64::from(flight.request.prompt_tokens);
-            self.tenants.advance(flight.member.team);
-            self.tenants.charge(flight.member.team, flight.charged);
+            self.teams.advance(flight.member.team);
+            self.teams.charge(flight.member.team, flight.charged);
         }
         actions.push(Action::Dispatch {
             request: id,
@@ -294,8 +294,8 @@
             let backend = &mut self.backends[running.server as usize];
             backend.latency.observe_service(seconds);
         }
-        self.tenants.kind_mut(member).observe_length(answer);
-        self.tenants.charge(member.team, correction);
+        self.teams.kind_mut(member).observe_length(answer);
+        self.teams.charge(member.team, correction);
         self.end(now, id, &[running], actions);
     }
 
@@ -311,7 +311,7 @@
         if let Phase::Queued(server) = flight.phase {
             self.unqueue(id, server);
         }
-        let kind = self.tenants.kind_mut(flight.member);
+        let kind = self.teams.kind_mut(flight.member);
         kind.in_flight = kind.in_flight.saturating_sub(1);
         for running in ended.iter().chain(&flight.attempts) {
             self.release(now, running);
--- a/crates/policy/src/tenant.rs
+++ b/crates/policy/src/roster.rs
@@ -26,7 +26,7 @@
 
 /// One team.
 #[derive(Clone, Debug)]
-pub(crate) struct Tenant {
+pub(crate) struct Team {
     name: TeamId,
     weight: f64,
     /// Service received, divided by the weight.
@@ -51,8 +51,8 @@
 
 /// All teams.
 #[derive(Debug, Default)]
-pub(crate) struct Tenants {
-    list: Vec<Tenant>,
+pub(crate) struct Roster {
+    list: Vec<Team>,
     index: HashMap<TeamId, usize>,
     free: Vec<usize>,
     /// Virtual time of the latest dispatch; teams that were idle start from here.
@@ -66,19 +66,19 @@
     pub(crate) kind: usize,
 }
 
-impl Tenants {
+impl Roster {
     /// Adopts shares and limits.
     pub(crate) fn configure(&mut self, fleet: &Fleet) {
-        for tenant in &mut self.list {
-            tenant.listed = false;
-            for kind in &mut tenant.kinds {
+        for entry in &mut self.list {
+            entry.listed = false;
+            for kind in &mut entry.kinds {
                 kind.listed = false;
                 kind.max_in_flight = None;
                 kind.per_minute = None;
             }
         }
         for share in &fleet.shares {
-            let team = self.team(&share.team);
+            let team = self.index_of(&share.team);
             self.list[team].weight = f64::from(share.weight.get());
             self.list[team].listed = true;
         }
@@ -95,7 +95,7 @@
 
     /// The team's kind, added when it is new.
     pub(crate) fn member(&mut self, team: &TeamId, kind: &KindName) -> Member {
-        let team = self.team(team);
+        let team = self.index_of(team);
         let kinds = &mut self.list[team].kinds;
         let found = kinds.iter().position(|known| known.name == *kind);
         let kind = found.unwrap_or_else(|| add_kind(kinds, kind));
@@ -110,7 +110,7 @@
         Some(Member { team, kind })
     }
 
-    pub(crate) fn tenant(&self, team: usize) -> &Tenant {
+    pub(crate) fn team(&self, team: usize) -> &Team {
         &self.list[team]
     }
 
@@ -124,17 +124,17 @@
 
     /// Lets a team that was idle start at the present virtual time, so that it cannot save up service.
     pub(crate) fn activate(&mut self, team: usize) {
-        let tenant = &mut self.list[team];
-        let idle = tenant.kinds.iter().all(|kind| kind.in_flight == 0);
+        let entry = &mut self.list[team];
+        let idle = entry.kinds.iter().all(|kind| kind.in_flight == 0);
         if idle {
-            tenant.virtual_time = tenant.virtual_time.max(self.clock);
+            entry.virtual_time = entry.virtual_time.max(self.clock);
         }
     }
 
     /// Charges a team for service; a negative amount gives back what was predicted too high.
     pub(crate) fn charge(&mut self, team: usize, service: f64) {
-        let tenant = &mut self.list[team];
-        tenant.virtual_time += service / tenant.weight;
+        let entry = &mut self.list[team];
+        entry.virtual_time += service / entry.weight;
     }
 
     /// Moves the clock to a team whose request is dispatched.
@@ -142,11 +142,11 @@
         self.clock = self.clock.max(self.list[team].virtual_time);
     }
 
-    fn team(&mut self, name: &TeamId) -> usize {
+    fn index_of(&mut self, name: &TeamId) -> usize {
         if let Some(&team) = self.index.get(name) {
             return team;
         }
-        let tenant = Tenant {
+        let entry = Team {
             name: name.clone(),
             weight: 1.0,
             virtual_time: self.clock,
@@ -154,10 +154,10 @@
             listed: false,
         };
         let team = if let Some(team) = self.free.pop() {
-            self.list[team] = tenant;
+            self.list[team] = entry;
             team
         } else {
-            self.list.push(tenant);
+            self.list.push(entry);
             self.list.len() - 1
         };
         self.index.insert(name.clone(), team);
@@ -165,10 +165,10 @@
     }
 
     fn drop_unlisted(&mut self) {
-        for (team, tenant) in self.list.iter_mut().enumerate() {
-            let idle = tenant.kinds.iter().all(|kind| kind.in_flight == 0);
-            if !tenant.listed && idle && self.index.remove(&tenant.name).is_some() {
-                tenant.kinds.clear();
+        for (team, entry) in self.list.iter_mut().enumerate() {
+            let idle = entry.kinds.iter().all(|kind| kind.in_flight == 0);
+            if !entry.listed && idle && self.index.remove(&entry.name).is_some() {
+                entry.kinds.clear();
                 self.free.push(team);
             }
         }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -18,7 +18,7 @@
     observation::Observations,
     placement::{Query, View},
     queue,
-    tenant::{Tenants, Typical},
+    roster::{Roster, Typical},
     timer::{Due, Timers},
 };
 pub use crate::{
@@ -52,7 +52,7 @@
     pub(crate) ranks: Vec<Rank>,
     pub(crate) cut_off: Vec<DataCentre>,
     pub(crate) daemons: u32,
-    pub(crate) tenants: Tenants,
+    pub(crate) teams: Roster,
     pub(crate) typical: Typical,
     pub(crate) flights: HashMap<RequestId, Flight>,
     pub(crate) timers: Timers,
@@ -86,7 +86,7 @@
             ranks: Vec::new(),
             cut_off: Vec::new(),
             daemons: 1,
-            tenants: Tenants::default(),
+            teams: Roster::default(),
             typical: Typical::new(),
             flights: HashMap::new(),
             timers: Timers::default(),
@@ -112,7 +112,7 @@
     /// Adopts a new directory and new limits. Servers keep what is known of them by name; requests that wait
     /// are placed again, and those without any server left are refused with the next event.
     pub fn configure(&mut self, now: Moment, fleet: Fleet) {
-        self.tenants.configure(&fleet);
+        self.teams.configure(&fleet);
         self.adopt_servers(now, fleet.servers);
     }
 
@@ -167,10 +167,10 @@
     /// The candidates for a request with each term of their scores, best first.
     #[must_use]
     pub fn explain(&self, now: Moment, request: &Request) -> Vec<Candidate> {
-        let member = self.tenants.find(&request.team, &request.kind);
+        let member = self.teams.find(&request.team, &request.kind);
         let predicted = member.map_or_else(
             || f64::from(request.expected_tokens),
-            |member| self.tenants.kind(member).predict(request.expected_tokens),
+            |member| self.teams.kind(member).predict(request.expected_tokens),
         );
         let shape = self.shape(
             now,
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-/// Name of a team, the tenant that owns requests and API keys.
+/// Name of a team, which owns requests and API keys.
 pub type TeamId = CompactString;
 /// Name of a request kind, as written in the routing sheet.
 pub type KindName = CompactString;
