Move the fault soak out of platform/

It is `crates/soak` now, without a word of the platform: the test of names covers its sources, too. What speaks these words, the store, the servers and the callers' requests as bytes, is test equipment of the adapter in `platform/tests/standin`, one copy for its tests and the soak. Ruled out: leaving the stand-ins in the soak, which would need the platform's names outside the folder.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -337,6 +337,14 @@
         data_centre != self.data_centre && self.reach.doubtful(now, data_centre)
     }
 
+    fn distance_ms(&self, server: &Server) -> f64 {
+        if server.entry.data_centre == *self.data_centre {
+            0.0
+        } else {
+            REMOTE_MS
+        }
+    }
+
     fn may_fetch(&self, now: Moment, source: &Server) -> bool {
         !source.health.paused(now) && !source.updating(now) && !self.cut_off(now, source)
     }
@@ -374,16 +382,14 @@
             // Engines begin a short urgent prompt before the long ones that wait for more memory.
             ms += MEMORY_WAIT * excess.min(as_f64(prompt.memory())) / TOKENS_PER_MS;
         }
-        ms *= server.health.pace(now) * (1.0 + ERROR_FACTOR * server.health.errors(now).powi(2));
+        ms *= slowness(now, server);
         ms += f64::from(u32::try_from(server.entry.cold.as_millis().min(500)).unwrap_or(0)) * 0.1;
         let mut score = ms + (RECOMPUTE_WEIGHT - 1.0) * missed_shared / TOKENS_PER_MS;
         score += compute_ms * f64::from(load.active) * DISTURBANCE;
         if version.is_some_and(|v| v < self.versions.preferred(now, &prompt.model)) {
             score += OUTDATED_MS;
         }
-        if server.entry.data_centre != *self.data_centre {
-            score += REMOTE_MS;
-        }
+        score += self.distance_ms(server);
         let choice = Choice {
             server: server.key,
             expected: milliseconds(ms),
@@ -404,12 +410,10 @@
         load.add(self.peers.total(server.key));
         let busy = f64::from(load.active) / f64::from(server.entry.slots.max(1));
         let mut ms = PLAIN_STEP_MS * (1.0 + busy);
-        ms *= server.health.pace(now) * (1.0 + ERROR_FACTOR * server.health.errors(now).powi(2));
+        ms *= slowness(now, server);
         // Servers that differ by less take turns, or the slightly better one would get all.
         let mut score = (ms / PLAIN_ALIKE_MS).round() * PLAIN_ALIKE_MS;
-        if server.entry.data_centre != *self.data_centre {
-            score += REMOTE_MS;
-        }
+        score += self.distance_ms(server);
         let choice = Choice {
             server: server.key,
             expected: milliseconds(ms),
@@ -426,6 +430,11 @@
     }
 }
 
+/// How many times longer a server takes than one without faults, by the outcomes that this host saw.
+fn slowness(now: Moment, server: &Server) -> f64 {
+    server.health.pace(now) * (1.0 + ERROR_FACTOR * server.health.errors(now).powi(2))
+}
+
 /// The servers that are compared for a request, by their rank: the first ones of the order, and some others that
 /// differ from request to request.
 ///
--- a/platform/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -8,6 +8,10 @@
 };
 
 use hashbrown::HashMap;
+use jaystand_adapter_standin::{
+    call::{self, Call, Kind},
+    exchange,
+};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
@@ -16,10 +20,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{
-    check::{End, Judge, Kind, Sent},
-    exchange,
-};
+use crate::check::{End, Judge, Sent};
 
 /// Part of the requests that go out on a kept connection, if there is one.
 const KEPT_PART: f64 = 0.8;
@@ -27,8 +28,11 @@
 const KEPT: Duration = Duration::from_secs(12);
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Deadlines of plain requests and of streams.
+const PLAIN: Duration = Duration::from_secs(2);
+const STREAM: Duration = Duration::from_secs(4);
 /// What a caller waits beyond its deadline before it takes a connection for silent.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+const BEYOND: Duration = Duration::from_millis(1_500);
 
 /// What all callers share.
 #[derive(Debug)]
@@ -98,35 +102,32 @@
         let Some(mut stream) = stream else {
             return;
         };
-        let (path, deadline, prompt) = match kind {
-            Kind::Order => ("write", 2_000, ""),
-            Kind::Read => ("read", 2_000, ""),
-            Kind::Stream => (
-                "ask",
-                4_000,
-                "x-model: reef\r\nx-token-usage: 900,20\r\nx-prompt-prefix: aa:700,bb:200\r\n",
-            ),
+        let patience = match kind {
+            Kind::Order | Kind::Read => PLAIN,
+            Kind::Stream => STREAM,
         };
-        let line = format!("POST /{path}/{}?n={}", point % 7, point % 3);
+        let line = format!("POST /{}/{}?n={}", call::prefix(kind), point % 7, point % 3);
         let body = format!("body of {id}");
         let key = self.key.lock().expect("not poisoned").clone();
-        let text = format!(
-            "{line} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\n\
-             x-deadline-ms: {deadline}\r\nauthorization: Bearer {key}\r\nx-tenant: other\r\n\
-             {prompt}content-length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let text = Call {
+            id,
+            kind,
+            line: &line,
+            body: &body,
+            key: &key,
+            patience,
+        }
+        .text();
         let sent = Sent {
             kind,
             at: self.started.elapsed(),
             line,
             body,
-            team: "schools",
+            team: call::TEAM,
             gateway: address,
         };
         self.judge.lock().expect("not poisoned").sent(id, sent);
-        let patience = Duration::from_millis(deadline) + PATIENCE;
-        let end = match timeout(patience, exchange(&mut stream, &text)).await {
+        let end = match timeout(patience + BEYOND, exchange(&mut stream, &text)).await {
             Err(_) => End::Silent,
             Ok(None) => End::Closed,
             Ok(Some(answer)) => {
@@ -138,7 +139,7 @@
                 }
                 End::Answer {
                     status: answer.status,
-                    sealed: answer.header("x-response-seal").is_some(),
+                    sealed: answer.is_signed(),
                     body: String::from_utf8_lossy(&answer.body).into_owned(),
                     complete: answer.complete,
                 }
--- a/platform/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,18 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hashbrown::HashMap;
-
-jaystand_types::common! { value
-    /// What may be repeated of a request.
-    pub enum Kind {
-        /// It may run more than once.
-        Read,
-        /// It may run once.
-        Order,
-        /// A stream that may be resumed.
-        Stream,
-    }
-}
+use jaystand_adapter_standin::{
+    answer::{EVENTS, body_of, event_of},
+    call::Kind,
+};
 
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
@@ -91,22 +83,6 @@
 /// A request is answered or given up within this time.
 const UNDER_WAY: Duration = Duration::from_secs(6);
 
-/// Events of each stream.
-pub const EVENTS: u64 = 12;
-
-/// The body with which a server answers a request.
-#[must_use]
-pub fn body_of(id: &str) -> String {
-    format!("{id} done {}", "x".repeat(700))
-}
-
-/// An event of a request's stream.
-#[must_use]
-pub fn event_of(id: &str, number: u64) -> String {
-    let data = if number == EVENTS { "end" } else { id };
-    format!("id: {number}\ndata: {data} {number}\n\n")
-}
-
 impl Judge {
     /// A caller is about to send a request.
     pub fn sent(&mut self, id: &str, sent: Sent) {
--- a/platform/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,6 +13,13 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use jaystand_adapter_standin::{
+    call::{self, Call, Kind},
+    exchange,
+    objects::{self, CONFIG, Entry, MODEL, SERVERS, WEIGHTS},
+    server::Line,
+    store::Store,
+};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
@@ -24,12 +31,8 @@
 use crate::{
     caller::Crowd,
     check::{Judge, Ran},
-    exchange,
-    objects::{self, Entry, MODEL},
     plan::{Fault, Mode, Shape},
     proxy::Proxy,
-    server::Line,
-    store::Store,
 };
 
 const FRONT_PORT: u16 = 8_700;
@@ -190,7 +193,7 @@
                     running.entry.lock().expect("not poisoned").leaving = true;
                     self.write_entry(&running.name, &running.entry);
                     sleep(LEAVES).await;
-                    self.store.remove("servers", &running.name);
+                    self.store.remove(SERVERS, &running.name);
                     end(Some(running.child)).await;
                 }
                 *slot = Some(self.start_server(index)?);
@@ -403,27 +406,26 @@
 
     fn write_entry(&self, name: &str, entry: &Mutex<Entry>) {
         let text = entry.lock().expect("not poisoned").text();
-        self.store.put("servers", name, &text);
+        self.store.put(SERVERS, name, &text);
     }
 
     fn lapse_later(self: &Arc<Self>, name: String) {
         let cluster = Arc::clone(self);
         tokio::spawn(async move {
             sleep(LAPSE).await;
-            cluster.store.remove("servers", &name);
+            cluster.store.remove(SERVERS, &name);
         });
     }
 
     fn write_config(&self, keys: &str) {
         let version = self.config.fetch_add(1, Ordering::SeqCst) + 1;
         let text = objects::config(version, &format!("\"{keys}\""));
-        self.store.put("config", "main", &text);
+        self.store.put(CONFIG.0, CONFIG.1, &text);
     }
 
     fn name_weights(&self) {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
-        let text = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
-        self.store.put("versions", MODEL, &text);
+        self.store.put(WEIGHTS, MODEL, &objects::weights(version));
     }
 
     /// Keeps the list of gateways that take new connections, as the platform does.
@@ -442,26 +444,30 @@
     }
 
     async fn readiness(&self, index: usize) -> Option<u16> {
-        let text = "GET /v1/readyz HTTP/1.1\r\nhost: a\r\n\r\n";
-        status(self.gateway(index, READY_PORT), text, READY_PERIOD).await
+        let address = self.gateway(index, READY_PORT);
+        status(address, call::READY, READY_PERIOD).await
     }
 
     async fn probe(&self, index: usize, key: &str) -> Option<u16> {
         let id = format!("probe-{index}-{key}");
-        let line = "GET /read/probe".to_owned();
+        let call = Call {
+            id: &id,
+            kind: Kind::Read,
+            line: "GET /read/probe",
+            body: "",
+            key,
+            patience: PROBE,
+        };
         let sent = crate::check::Sent {
-            kind: crate::check::Kind::Read,
+            kind: call.kind,
             at: Duration::MAX,
-            line: line.clone(),
+            line: call.line.to_owned(),
             body: String::new(),
-            team: "schools",
+            team: call::TEAM,
             gateway: self.gateway(index, FRONT_PORT),
         };
         self.judge.lock().expect("not poisoned").sent(&id, sent);
-        let text = format!(
-            "{line} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\nx-deadline-ms: 2000\r\n\
-             authorization: Bearer {key}\r\n\r\n"
-        );
+        let text = call.text();
         let address = self.gateway(index, FRONT_PORT);
         status(address, &text, PROBE).await
     }
--- a/platform/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the users' platform, and a soak that hurts running gateways and checks their promises.
+//! A soak that hurts running gateways and checks their promises.
 
 #![allow(
     clippy::missing_panics_doc,
@@ -8,10 +8,6 @@
 pub mod caller;
 pub mod check;
 pub mod cluster;
-pub mod exchange;
-pub mod objects;
 pub mod plan;
 pub mod proxy;
 pub mod report;
-pub mod server;
-pub mod store;
--- a/platform/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,12 +9,12 @@
 };
 
 use clap::{Parser, Subcommand};
+use jaystand_adapter_standin::server;
 use jaystand_soak::{
     check::Breach,
     cluster::{Cluster, Setup},
     plan::{self, CALM_END, Shape},
     report::{self, Figures},
-    server,
 };
 use miette::{IntoDiagnostic as _, miette};
 use tokio::{task::LocalSet, time::sleep};
--- a/platform/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jaystand_soak::check::{EVENTS, End, Judge, Kind, Ran, Sent, body_of, event_of};
+use jaystand_adapter_standin::{
+    answer::{EVENTS, body_of, event_of},
+    call::Kind,
+};
+use jaystand_soak::check::{End, Judge, Ran, Sent};
 
 fn sent(kind: Kind) -> Sent {
     Sent {
