Accept keys only with a recent proof of the configuration

Cause: strictRevoke was not read. A host that had lost the store went on with the keys that it knew, so that a data centre that was cut off ran requests whose key had been taken away more than 5 s before. The decision is `dispatch::proof`: a linearizable read that was sent less than the bound ago, less 200 ms, proves the version in force. Hosts read every 1.5 s; a host whose reads fail asks one that has the store, and counts the age of that proof from its own question. The clock counts suspensions. Without proof a request with a key is refused at once with 503. Ruled out: a watch as proof (it is silent for 15 s, and hears nothing while the store forgets its history); reports that carry the age (a datagram may wait in the buffer of a frozen process).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -22,6 +22,8 @@
         NoConfiguration,
         /// The key or route is unknown, but the configuration may be old.
         Unconfirmed,
+        /// Its key may have been taken away: the configuration is not proven to be recent.
+        Unproven,
         /// No server may take it.
         NoServer,
         /// Every server that was tried refused it or could not be reached.
@@ -42,6 +44,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::Unconfirmed => "unconfirmed",
+            Self::Unproven => "unproven",
             Self::NoServer => "no_server",
             Self::Attempts => "attempts",
             Self::Overload => "overload",
@@ -72,6 +75,8 @@
         Reason::Stopping => Duration::ZERO,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE) / 2,
         Reason::Attempts => LEAST_PAUSE,
+        // Another host, which the caller comes back to, may have the proof.
+        Reason::Unproven => LEAST_PAUSE,
         Reason::NoConfiguration | Reason::Unconfirmed | Reason::NoServer | Reason::Deadline => {
             SERVERS_CHANGE
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod load;
 pub mod placement;
 pub mod prompt;
+pub mod proof;
 pub mod reach;
+pub mod relay;
 pub mod report;
 pub mod weights;
 
--- /dev/null
+++ b/crates/dispatch/src/relay.rs
@@ -0,0 +1,140 @@
+//! Which hosts of a data centre follow the store, and which follow one of those.
+//!
+//! The load that this answers: on tanekaha-tanks-large 295 hosts followed the store each for itself. Their 19,373
+//! calls in a day took 0.36 of its worth. Calls should grow with the data centres instead.
+//!
+//! The relays of a data centre are the first members of a rendezvous order, so that hosts agree on them without a
+//! message. Views differ for a while when hosts come and go: a host that is asked for changes follows the store for
+//! as long as it is asked, whether or not it would choose itself.
+
+use std::{hash::Hash, time::Duration};
+
+use hashbrown::HashMap;
+use jaystand_types::Moment;
+
+use crate::prompt;
+
+/// Hosts of a data centre that follow the store: one may be frozen or cut off while the other serves.
+pub const RELAYS: usize = 2;
+/// In smaller data centres every host follows the store; relays would save few calls.
+pub const LEAST_MEMBERS: usize = 5;
+/// A member that was not heard for this long is gone. In a fleet of 295 hosts each hears 72 others in 400 ms.
+const MEMBER_EXPIRY: Duration = Duration::from_secs(8);
+/// A host follows the store for this long after it was last asked for changes.
+const ASKED_KEPT: Duration = Duration::from_secs(5);
+/// A relay that failed is passed over for this long.
+const FAILED_PAUSE: Duration = Duration::from_secs(6);
+/// After this many failures within the pause the host goes to the store itself.
+const MOST_FAILURES: usize = 2;
+/// A host that has just started waits this long for news of its members, and up to as long again, by its own
+/// identity. If all went to the store at once, each start of the fleet would cost three calls a host.
+const START_PATIENCE: Duration = Duration::from_millis(400);
+
+jaystand_types::common! { value
+    /// Where a host learns of changes.
+    pub enum Source<P> {
+        /// Not known yet: the other hosts of the data centre have not been heard.
+        Unknown,
+        /// From the store.
+        Store,
+        /// From another host.
+        Host(P),
+    }
+}
+
+/// The hosts of the own data centre.
+#[derive(Clone, Debug)]
+pub struct Relays<P> {
+    own: P,
+    started: Moment,
+    members: HashMap<P, Member>,
+    asked: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    heard: Moment,
+    failed: Option<Moment>,
+}
+
+impl<P: Copy + Eq + Hash> Relays<P> {
+    /// No other host is known yet.
+    #[must_use]
+    pub fn new(own: P, started: Moment) -> Self {
+        Self {
+            own,
+            started,
+            members: HashMap::new(),
+            asked: None,
+        }
+    }
+
+    /// A host of the data centre gave a sign of life.
+    pub fn heard(&mut self, now: Moment, host: P) {
+        if host == self.own {
+            return;
+        }
+        let new = Member {
+            heard: now,
+            failed: None,
+        };
+        self.members.entry(host).or_insert(new).heard = now;
+    }
+
+    /// A host of the data centre is about to stop.
+    pub fn gone(&mut self, host: P) {
+        self.members.remove(&host);
+    }
+
+    /// Another host asked this one for changes.
+    pub fn asked(&mut self, now: Moment) {
+        self.asked = Some(now);
+    }
+
+    /// A host did not answer, or has lost the store itself.
+    pub fn failed(&mut self, now: Moment, host: P) {
+        if let Some(member) = self.members.get_mut(&host) {
+            member.failed = Some(now);
+        }
+    }
+
+    /// Where this host learns of changes now. `identity` tells a host's place in the order, equal on all hosts.
+    pub fn choose(&mut self, now: Moment, identity: impl Fn(P) -> u64) -> Source<P> {
+        self.members
+            .retain(|_, member| now.saturating_sub(member.heard) < MEMBER_EXPIRY);
+        let own = identity(self.own);
+        let asked = self.asked.is_some_and(|at| now < at + ASKED_KEPT);
+        if asked {
+            return Source::Store;
+        }
+        if self.members.len() + 1 < LEAST_MEMBERS {
+            let patience = START_PATIENCE + START_PATIENCE * share_of(own) / 100;
+            return if now < self.started + patience {
+                Source::Unknown
+            } else {
+                Source::Store
+            };
+        }
+        let failed = |member: &Member| member.failed.is_some_and(|at| now < at + FAILED_PAUSE);
+        if self.members.values().filter(|m| failed(m)).count() >= MOST_FAILURES {
+            return Source::Store;
+        }
+        let sound = self.members.iter().filter(|(_, member)| !failed(member));
+        let mut order: Vec<(u64, P)> = sound
+            .map(|(host, _)| (prompt::mix(0, identity(*host)), *host))
+            .chain([(prompt::mix(0, own), self.own)])
+            .collect();
+        order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        order.truncate(RELAYS);
+        if order.iter().any(|(_, host)| *host == self.own) {
+            return Source::Store;
+        }
+        let turn = usize::try_from(own % order.len() as u64).unwrap_or(0);
+        Source::Host(order[turn].1)
+    }
+}
+
+/// A share in hundredths, by identity.
+fn share_of(identity: u64) -> u32 {
+    u32::try_from(prompt::mix(1, identity) % 100).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/dispatch/tests/relay.rs
@@ -0,0 +1,153 @@
+//! Who follows the store, in a simulated fleet.
+
+mod support;
+
+use std::collections::HashMap;
+
+use jaystand_dispatch::{
+    prompt,
+    relay::{RELAYS, Relays, Source},
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use support::ms;
+
+type Host = u32;
+
+fn identity(host: Host) -> u64 {
+    prompt::hash(&host.to_le_bytes())
+}
+
+/// The hosts of one data centre, which hear each other with gaps.
+struct Fleet {
+    hosts: HashMap<Host, Relays<Host>>,
+    heard_share: f64,
+    rng: Pcg64Mcg,
+}
+
+impl Fleet {
+    fn new(hosts: u32, heard_share: f64) -> Self {
+        let relays = (0..hosts).map(|host| (host, Relays::new(host, ms(0))));
+        Self {
+            hosts: relays.collect(),
+            heard_share,
+            rng: Pcg64Mcg::seed_from_u64(7),
+        }
+    }
+
+    /// One round of reports at a moment, and of questions to the chosen relays.
+    fn round(&mut self, now: u64) -> HashMap<Host, Source<Host>> {
+        let all: Vec<Host> = self.hosts.keys().copied().collect();
+        for relays in self.hosts.values_mut() {
+            for other in &all {
+                if self.rng.random_bool(self.heard_share) {
+                    relays.heard(ms(now), *other);
+                }
+            }
+        }
+        let sources: HashMap<Host, Source<Host>> = self
+            .hosts
+            .iter_mut()
+            .map(|(host, relays)| (*host, relays.choose(ms(now), identity)))
+            .collect();
+        for (host, source) in &sources {
+            let Source::Host(relay) = source else {
+                continue;
+            };
+            match self.hosts.get_mut(relay) {
+                Some(relays) => relays.asked(ms(now)),
+                None => {
+                    let relays = self.hosts.get_mut(host).expect("a live host");
+                    relays.failed(ms(now), *relay);
+                }
+            }
+        }
+        sources
+    }
+
+    fn run(&mut self, from: u64, until: u64) -> HashMap<Host, Source<Host>> {
+        let mut sources = HashMap::new();
+        let mut now = from;
+        while now < until {
+            sources = self.round(now);
+            now += 400;
+        }
+        sources
+    }
+}
+
+fn at_the_store(sources: &HashMap<Host, Source<Host>>) -> usize {
+    let direct = |source: &&Source<Host>| **source == Source::Store;
+    sources.values().filter(direct).count()
+}
+
+/// Guards against calls to the store that grow with the hosts: 49 hosts of a data centre, of which each hears a
+/// quarter of the others in 400 ms.
+#[test]
+fn a_few_hosts_of_a_data_centre_follow_the_store() {
+    let mut fleet = Fleet::new(49, 0.25);
+    let sources = fleet.run(500, 20_000);
+    let direct = at_the_store(&sources);
+    assert!((RELAYS..=2 * RELAYS).contains(&direct), "{direct} hosts");
+}
+
+/// Guards against hosts that follow a relay which does not follow the store.
+#[test]
+fn relays_follow_the_store() {
+    let mut fleet = Fleet::new(49, 0.25);
+    let before = fleet.run(500, 20_000);
+    let after = fleet.round(20_000);
+    for source in before.values() {
+        if let Source::Host(relay) = source {
+            assert_eq!(after[relay], Source::Store);
+        }
+    }
+}
+
+/// Guards against a data centre that is blind because its relays are gone: their followers find others at once.
+#[test]
+fn followers_of_dead_relays_find_others() {
+    let mut fleet = Fleet::new(49, 0.25);
+    let sources = fleet.run(500, 20_000);
+    let relays: Vec<Host> = sources
+        .iter()
+        .filter(|(_, source)| **source == Source::Store)
+        .map(|(host, _)| *host)
+        .collect();
+    for relay in &relays {
+        fleet.hosts.remove(relay);
+    }
+    let sources = fleet.run(20_000, 22_000);
+    for source in sources.values() {
+        if let Source::Host(relay) = source {
+            assert!(!relays.contains(relay), "host {relay} is dead");
+        }
+    }
+    let sources = fleet.run(22_000, 45_000);
+    let direct = at_the_store(&sources);
+    assert!((RELAYS..=2 * RELAYS).contains(&direct), "{direct} hosts");
+}
+
+/// Guards against a host that waits for others that do not exist, and against small fleets that lean on relays.
+#[test]
+fn a_small_data_centre_goes_to_the_store() {
+    let mut fleet = Fleet::new(3, 1.0);
+    assert_eq!(at_the_store(&fleet.run(100, 300)), 0);
+    assert_eq!(at_the_store(&fleet.run(900, 1_000)), 3);
+}
+
+/// Guards against a data centre that is cut off together with its relays and asks one host after the other.
+#[test]
+fn after_two_failures_a_host_goes_to_the_store() {
+    let mut relays = Relays::new(0, ms(0));
+    for host in 1..20 {
+        relays.heard(ms(1_000), host);
+    }
+    let mut asked = 0;
+    while let Source::Host(relay) = relays.choose(ms(1_100), identity) {
+        relays.failed(ms(1_100), relay);
+        asked += 1;
+        assert!(asked <= 2, "{asked} relays asked");
+    }
+    assert_eq!(relays.choose(ms(1_100), identity), Source::Store);
+}
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -119,6 +119,9 @@
     if config.needs_key() && team.is_none() && !route.public {
         return Err(unknown(StatusCode::UNAUTHORIZED, "unknown key"));
     }
+    if config.needs_key() && !route.public && !hub.accepts_keys() {
+        return Err(unavailable(Reason::Unproven));
+    }
     let service = route
         .target(&head.id)
         .ok_or_else(|| unavailable(Reason::NoServer))?;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,11 +6,12 @@
     entry,
     store::{Change, Object},
 };
-use jaystand_types::Version;
+use jaystand_types::{Moment, Version};
 use rand::RngExt as _;
 use tokio::time::sleep;
 
 use crate::{
+    clock,
     hub::{Hub, Kind, is_config},
     store::{Error, WATCH},
 };
@@ -33,6 +34,7 @@
     let mut backoff = FIRST_BACKOFF;
     let mut lost = false;
     loop {
+        let asked = clock::since_boot();
         match hub.store.list(&hub.metrics, kind.in_store()).await {
             Ok((objects, unreadable, revision)) => {
                 backoff = FIRST_BACKOFF;
@@ -40,7 +42,7 @@
                 if unreadable > 0 {
                     log::warn!(feed = kind.as_str(), unreadable; "objects that cannot be read are passed over");
                 }
-                adopt_list(&hub, kind, &objects, revision);
+                adopt_list(&hub, kind, &objects, revision, asked);
                 let first_wait = if lost { CONFIRM_AFTER } else { WATCH };
                 lost = watch(&hub, kind, revision, first_wait).await;
             }
@@ -118,7 +120,7 @@
     feed.changed = feed.changed.max(object.revision);
 }
 
-fn adopt_list(hub: &Hub, kind: Kind, objects: &[Object], revision: Version) {
+fn adopt_list(hub: &Hub, kind: Kind, objects: &[Object], revision: Version, asked: Moment) {
     match kind {
         Kind::Servers => {
             hub.replace_servers(objects.iter().map(|object| (&object.name, &*object.value)));
@@ -126,7 +128,8 @@
                 note_changed(hub, kind, object);
             }
         }
-        Kind::Config | Kind::Weights => {
+        Kind::Config => adopt_configs(hub, objects, asked),
+        Kind::Weights => {
             for object in objects {
                 adopt_object(hub, kind, object);
             }
@@ -138,6 +141,30 @@
     feed.loaded = true;
 }
 
+/// Takes in a list of configurations that was asked for at a moment, which proves that no newer one was in force then.
+fn adopt_configs(hub: &Hub, objects: &[Object], asked: Moment) {
+    for object in objects.iter().filter(|object| is_config(&object.name)) {
+        note_changed(hub, Kind::Config, object);
+        if let Some(version) = hub.adopt_config(&object.value, "store") {
+            hub.state.borrow_mut().proof.confirm(version, asked);
+        }
+    }
+}
+
+/// Reads the configuration again and again, so that keys which were taken away are not accepted any more. A watch
+/// that is silent proves nothing.
+pub(crate) async fn prove(hub: Rc<Hub>, period: Duration) {
+    let mut ticks = hub.timer.every(period);
+    loop {
+        ticks.tick().await;
+        let asked = clock::since_boot();
+        match hub.store.list(&hub.metrics, Kind::Config.in_store()).await {
+            Ok((objects, ..)) => adopt_configs(&hub, &objects, asked),
+            Err(error) => log::debug!("the configuration cannot be confirmed: {error}"),
+        }
+    }
+}
+
 fn adopt_change(hub: &Hub, kind: Kind, change: &Change) {
     match (kind, change) {
         (_, Change::Written(object)) => adopt_object(hub, kind, object),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -21,6 +21,7 @@
     lease::Record,
     load::Peers,
     placement::Store as PartStore,
+    proof::Proof,
     reach::Reach,
     weights::{Age, Versions},
 };
@@ -30,6 +31,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    clock,
     metrics::Metrics,
     pool::{Lent, Pool},
     settings::Settings,
@@ -79,6 +81,8 @@
 pub(crate) struct State {
     pub(crate) config: Option<Arc<Configuration>>,
     pub(crate) config_text: Option<Rc<RawValue>>,
+    /// When the configuration was last known to be the newest, by the clock that counts suspensions.
+    pub(crate) proof: Proof,
     pub(crate) directory: Directory,
     /// Entries of the known servers as the store holds them, for peers that cannot reach it.
     pub(crate) entries: HashMap<ServerName, Rc<RawValue>>,
@@ -152,6 +156,7 @@
         let state = State {
             config: None,
             config_text: None,
+            proof: Proof::new(settings.revocation),
             directory: Directory::default(),
             entries: HashMap::new(),
             versions: Versions::new(settings.weights),
@@ -203,7 +208,7 @@
         state.config.is_some() && !state.directory.is_empty() && !self.is_stopping()
     }
 
-    /// Adopts a configuration if it is newer than the one in force. Returns its version.
+    /// Adopts a configuration if it is newer than the one in force. Returns its version, if it can be read.
     pub(crate) fn adopt_config(&self, text: &RawValue, source: &str) -> Option<Version> {
         let draft = match jaystand_adapter::config::decode(text.get().as_bytes()) {
             Ok(draft) => draft,
@@ -216,7 +221,7 @@
         let version = draft.version;
         let known = state.config.as_ref().map_or(0, |config| config.version());
         if version <= known {
-            return None;
+            return Some(version);
         }
         let (config, problems) = Configuration::check(draft);
         for problem in problems {
@@ -375,6 +380,13 @@
         hosts.peek().is_some() && hosts.all(|host| host.config_version <= version)
     }
 
+    /// Whether keys may be accepted: none of them can have been taken away too long ago.
+    pub(crate) fn accepts_keys(&self) -> bool {
+        let state = self.state.borrow();
+        let in_force = state.config.as_ref().map_or(0, |config| config.version());
+        state.proof.holds(clock::since_boot(), in_force)
+    }
+
     /// Takes a connection back whose last answer has been read to the end.
     pub(crate) async fn give_back(&self, lent: Lent, stated_idle: Option<Duration>) {
         let most = self.idle_share(lent.server);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -166,6 +166,8 @@
     servers_revision: Version,
     servers: Vec<(ServerName, Rc<RawValue>)>,
     weights: Vec<(Model, Version)>,
+    /// The newest configuration, and the milliseconds since it was known to be the newest.
+    proven: Option<(Version, u64)>,
 }
 
 /// Reports to other hosts for as long as the process runs.
@@ -501,7 +503,10 @@
 
 fn copy_of(hub: &Hub) -> Copy {
     let state = hub.state.borrow();
+    let proven = state.proof.newest();
+    let age = |at: Moment| clock::since_boot().saturating_sub(at);
     Copy {
+        proven: proven.map(|(version, at)| (version, whole_ms(age(at)) + 1)),
         config: state.config_text.clone(),
         servers_revision: state.servers_feed.revision,
         servers: state
@@ -543,10 +548,12 @@
         if !empty && now.saturating_sub(since) < COPY_PATIENCE {
             continue;
         }
+        // The age of the peer's proof counts from here: the answer may wait on the way.
+        let asked = clock::since_boot();
         match timeout(COPY, fetch(&hub, source)).await {
             Ok(Ok(copy)) => {
                 log::info!(peer:% = source, servers = copy.servers.len(); "copy of a peer taken in");
-                adopt(&hub, &copy);
+                adopt(&hub, &copy, asked);
             }
             Ok(Err(error)) => log::info!(peer:% = source; "no copy: {error}"),
             Err(_) => log::info!(peer:% = source; "no copy in time"),
@@ -563,18 +570,22 @@
     feed.connected() && hosts.any(|host| host.connected && host.servers_changed > feed.changed)
 }
 
-/// A live host that knows a newer configuration, or newer servers while this host cannot reach the store.
+/// A live host that knows a newer configuration; or, while this host cannot reach the store, one that knows newer
+/// servers, or can reach the store when this host needs proof of its configuration.
 fn better_informed(hub: &Hub, now: Moment) -> Option<IpAddr> {
     let state = hub.state.borrow();
     let version = state.config.as_ref().map_or(0, |config| config.version());
     let cut_off = !state.servers_feed.connected();
+    let unproven = state.proof.wants_renewal(clock::since_boot());
     let revision = state.servers_feed.revision;
     let better: Vec<IpAddr> = state
         .hosts
         .iter()
         .filter(|(_, host)| now.saturating_sub(host.seen) < PEER_FRESH)
         .filter(|(_, host)| {
-            host.config_version > version || (cut_off && host.servers_revision > revision)
+            host.config_version > version
+                || (cut_off && host.servers_revision > revision)
+                || (unproven && host.connected)
         })
         .map(|(address, _)| *address)
         .collect();
@@ -598,10 +609,15 @@
     serde_json::from_slice(&body).map_err(std::io::Error::other)
 }
 
-fn adopt(hub: &Hub, copy: &Copy) {
+fn adopt(hub: &Hub, copy: &Copy, asked: Moment) {
     if let Some(config) = &copy.config {
         hub.adopt_config(config, "peer");
     }
+    if let Some((version, age_ms)) = copy.proven
+        && let Some(at) = asked.checked_sub(Duration::from_millis(age_ms))
+    {
+        hub.state.borrow_mut().proof.confirm(version, at);
+    }
     for (model, version) in &copy.weights {
         hub.name_weights(model, *version, None, "peer");
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -85,6 +85,9 @@
     spawn_local(peer::report(Rc::clone(&hub), socket));
     spawn_local(peer::serve_copies(Rc::clone(&hub), copies));
     spawn_local(peer::fetch_copies(Rc::clone(&hub)));
+    if let Some(period) = hub.state.borrow().proof.read_period() {
+        spawn_local(feed::prove(Rc::clone(&hub), period));
+    }
     for kind in [Kind::Config, Kind::Servers, Kind::Weights] {
         spawn_local(feed::follow(Rc::clone(&hub), kind));
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -104,6 +104,10 @@
     retry_slack: f64,
     #[serde(default = "default_window")]
     retry_window_s: f64,
+    #[serde(default)]
+    strict_revoke: bool,
+    #[serde(default = "default_revoke")]
+    revoke_ms: f64,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -129,6 +133,8 @@
     pub(crate) lease: Duration,
     pub(crate) weights: weights::Settings,
     pub(crate) budget: budget::Settings,
+    /// Time after which a key that was taken away must not be accepted, whether the store can be reached or not.
+    pub(crate) revocation: Option<Duration>,
     pub(crate) log_level: LevelFilter,
     pub(crate) log_lines: u32,
 }
@@ -193,6 +199,10 @@
                 slack: share("bounds.retry_slack", bounds.retry_slack)?,
                 window: time("bounds.retry_window_s", bounds.retry_window_s, 1.0)?,
             },
+            revocation: bounds
+                .strict_revoke
+                .then(|| time("bounds.revoke_ms", bounds.revoke_ms, 1e-3))
+                .transpose()?,
             seeds: document.seeds.iter().map(SocketAddr::ip).collect(),
             host: document.host,
             data_centre: document.data_centre,
@@ -235,3 +245,7 @@
 fn default_window() -> f64 {
     10.0
 }
+
+fn default_revoke() -> f64 {
+    5_000.0
+}
