Let a few hosts of each data centre follow the store for all

Now the first one or two hosts of a rendezvous order of each data centre follow the store (`dispatch::relay`), and the others ask them for changes, which are numbered for each run of a process (`gateway::copy`). A host that is asked follows the store for as long, so differing views need no agreement; after two failures a host goes to the store itself. Data centres of up to three hosts stay as they were. Hosts that were only named by others are not named again, since dead ones never left the reports; a host that has just started is told of its data centre at once. Ruled out: longer gathers (servers that leave must be known within two seconds), one relay for the fleet (a cut data centre would lose it), sending entries by UDP (some hundred entries at a time, to be repeated when lost).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -74,9 +74,8 @@
     let wanted = match reason {
         Reason::Stopping => Duration::ZERO,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE) / 2,
-        Reason::Attempts => LEAST_PAUSE,
         // Another host, which the caller comes back to, may have the proof.
-        Reason::Unproven => LEAST_PAUSE,
+        Reason::Attempts | Reason::Unproven => LEAST_PAUSE,
         Reason::NoConfiguration | Reason::Unconfirmed | Reason::NoServer | Reason::Deadline => {
             SERVERS_CHANGE
         }
--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -14,10 +14,10 @@
 
 use crate::prompt;
 
-/// Hosts of a data centre that follow the store: one may be frozen or cut off while the other serves.
-pub const RELAYS: usize = 2;
 /// In smaller data centres every host follows the store; relays would save few calls.
-pub const LEAST_MEMBERS: usize = 5;
+const LEAST_MEMBERS: usize = 4;
+/// From this size on a data centre has two relays: one alone would spend its processor on its followers.
+const TWO_RELAYS: usize = 9;
 /// A member that was not heard for this long is gone. In a fleet of 295 hosts each hears 72 others in 400 ms.
 const MEMBER_EXPIRY: Duration = Duration::from_secs(8);
 /// A host follows the store for this long after it was last asked for changes.
@@ -125,7 +125,7 @@
             .chain([(prompt::mix(0, own), self.own)])
             .collect();
         order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        order.truncate(RELAYS);
+        order.truncate(relays(order.len()));
         if order.iter().any(|(_, host)| *host == self.own) {
             return Source::Store;
         }
@@ -134,6 +134,20 @@
     }
 }
 
+/// Hosts that follow the store, in data centres of so many hosts each.
+pub fn at_store(data_centres: impl Iterator<Item = usize>) -> usize {
+    data_centres.map(relays).sum()
+}
+
+/// Hosts that follow the store, of a data centre with so many.
+fn relays(hosts: usize) -> usize {
+    match hosts {
+        ..LEAST_MEMBERS => hosts,
+        LEAST_MEMBERS..TWO_RELAYS => 1,
+        TWO_RELAYS.. => 2,
+    }
+}
+
 /// A share in hundredths, by identity.
 fn share_of(identity: u64) -> u32 {
     u32::try_from(prompt::mix(1, identity) % 100).unwrap_or(0)
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -57,7 +57,25 @@
 }
 
 impl Age {
-    fn length(self) -> Duration {
+    /// An age, as one host states it to another.
+    #[must_use]
+    pub fn new(length: Duration, presumed: bool) -> Self {
+        if presumed {
+            Self::Presumed(length)
+        } else {
+            Self::Known(length)
+        }
+    }
+
+    /// Whether it is presumed.
+    #[must_use]
+    pub fn is_presumed(self) -> bool {
+        matches!(self, Self::Presumed(_))
+    }
+
+    /// The time since the version was named.
+    #[must_use]
+    pub fn length(self) -> Duration {
         match self {
             Self::Known(age) | Self::Presumed(age) => age,
         }
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -6,7 +6,7 @@
 
 use jaystand_dispatch::{
     prompt,
-    relay::{RELAYS, Relays, Source},
+    relay::{Relays, Source, at_store},
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -14,6 +14,9 @@
 
 type Host = u32;
 
+/// Relays of a large data centre.
+const RELAYS: usize = 2;
+
 fn identity(host: Host) -> u64 {
     prompt::hash(&host.to_le_bytes())
 }
@@ -54,12 +57,10 @@
             let Source::Host(relay) = source else {
                 continue;
             };
-            match self.hosts.get_mut(relay) {
-                Some(relays) => relays.asked(ms(now)),
-                None => {
-                    let relays = self.hosts.get_mut(host).expect("a live host");
-                    relays.failed(ms(now), *relay);
-                }
+            if let Some(relays) = self.hosts.get_mut(relay) {
+                relays.asked(ms(now));
+            } else if let Some(relays) = self.hosts.get_mut(host) {
+                relays.failed(ms(now), *relay);
             }
         }
         sources
@@ -151,3 +152,11 @@
     }
     assert_eq!(relays.choose(ms(1_100), identity), Source::Store);
 }
+
+/// Guards against changes that gather for as long as if every host of the fleet followed the store.
+#[test]
+fn the_hosts_at_the_store_grow_with_data_centres() {
+    assert_eq!(at_store([2, 2, 1, 1].into_iter()), 6);
+    assert_eq!(at_store([4, 4, 4].into_iter()), 3);
+    assert_eq!(at_store([49, 50, 46, 45, 52, 53].into_iter()), 12);
+}
--- /dev/null
+++ b/crates/gateway/src/copy.rs
@@ -0,0 +1,426 @@
+//! Copies of what the store holds, for hosts that follow another host instead of the store.
+//!
+//! Each host numbers the changes that it takes in. A follower asks for those after the last one that it has, and waits
+//! in the other host until there is one; with a number of another run it gets everything.
+
+use std::{
+    collections::VecDeque,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hashbrown::HashMap;
+use http::{HeaderValue, Request, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use jaystand_dispatch::{relay::Source, weights::Age};
+use jaystand_types::{Model, Moment, ServerName, Version};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    clock, front,
+    hub::{Hub, Kind, whole_ms},
+    link::Link,
+};
+
+/// How long a question waits in the other host for a change. A host that does not answer is noticed this late.
+const WAIT: Duration = Duration::from_secs(1);
+/// Time allowed for an answer beyond the wait, and for a connection. Ways take about 3 ms.
+const ANSWER: Duration = Duration::from_millis(600);
+/// Pause after a failure, before another host is asked.
+const RETRY: Duration = Duration::from_millis(30);
+/// Largest copy: a configuration of up to 1 MB, entries of some hundred servers.
+const MOST_BYTES: usize = 8 << 20;
+/// Removals that are remembered. A follower that lacks more gets everything.
+const REMEMBERED_REMOVALS: usize = 1_024;
+const PATH: &str = "/copy";
+
+/// What the store holds, as far as this host knows, with the number of the change that brought it.
+#[derive(Default)]
+pub(crate) struct Entries {
+    change: u64,
+    config: u64,
+    weights: u64,
+    servers: HashMap<ServerName, (u64, Rc<RawValue>)>,
+    removed: VecDeque<(u64, ServerName)>,
+    /// Removals up to this change are not remembered.
+    forgotten: u64,
+}
+
+impl Entries {
+    /// Takes a server's entry in.
+    pub(crate) fn put_server(&mut self, name: &ServerName, text: &RawValue) {
+        let known = self.servers.get(name);
+        if known.is_none_or(|(_, known)| known.get() != text.get()) {
+            self.change += 1;
+            let entry = (self.change, Rc::from(text.to_owned()));
+            self.servers.insert(name.clone(), entry);
+        }
+    }
+
+    /// Takes in that a server's entry is gone.
+    pub(crate) fn remove_server(&mut self, name: &str) {
+        if self.servers.remove(name).is_none() {
+            return;
+        }
+        self.change += 1;
+        self.removed.push_back((self.change, name.into()));
+        if self.removed.len() > REMEMBERED_REMOVALS
+            && let Some((change, _)) = self.removed.pop_front()
+        {
+            self.forgotten = change;
+        }
+    }
+
+    /// Another configuration is in force.
+    pub(crate) fn note_config(&mut self) {
+        self.change += 1;
+        self.config = self.change;
+    }
+
+    /// Newer weights are named.
+    pub(crate) fn note_weights(&mut self) {
+        self.change += 1;
+        self.weights = self.change;
+    }
+
+    /// Number of the newest change.
+    pub(crate) fn change(&self) -> u64 {
+        self.change
+    }
+}
+
+/// Changes of what the store holds, or all of it.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Copy {
+    /// The run of the process whose changes are numbered.
+    run: u64,
+    change: u64,
+    /// Whether the host is in touch with the store, itself or through another one.
+    connected: bool,
+    /// Whether all entries of servers are there, not only the changed ones.
+    complete: bool,
+    config: Option<Rc<RawValue>>,
+    servers_revision: Version,
+    servers_changed: Version,
+    servers: Vec<(ServerName, Rc<RawValue>)>,
+    removed: Vec<ServerName>,
+    weights: Vec<Weights>,
+    proven: Option<Proven>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Weights {
+    model: Model,
+    version: Version,
+    age_ms: u64,
+    presumed: bool,
+}
+
+/// The newest configuration, and when it was known to be the newest: milliseconds after the question came in.
+#[derive(Serialize, Deserialize)]
+struct Proven {
+    version: Version,
+    after_ms: i64,
+}
+
+/// A question for changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Question {
+    run: u64,
+    after: u64,
+    waits: bool,
+}
+
+impl Question {
+    fn path(self) -> String {
+        format!(
+            "{PATH}?run={}&after={}&wait={}",
+            self.run,
+            self.after,
+            u8::from(self.waits)
+        )
+    }
+
+    fn parse(uri: &Uri) -> Option<Self> {
+        if uri.path() != PATH {
+            return None;
+        }
+        let mut question = Self::default();
+        for pair in uri.query().unwrap_or_default().split('&') {
+            let (name, value) = pair.split_once('=')?;
+            let value: u64 = value.parse().ok()?;
+            match name {
+                "run" => question.run = value,
+                "after" => question.after = value,
+                "wait" => question.waits = value != 0,
+                _ => return None,
+            }
+        }
+        Some(question)
+    }
+}
+
+/// Answers the questions of other hosts for as long as the process runs.
+pub(crate) async fn serve(hub: Rc<Hub>, listener: TcpListener) {
+    front::serve_text(hub, listener, async |hub: Rc<Hub>, request| {
+        let Some(question) = Question::parse(request.uri()) else {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        };
+        match serde_json::to_vec(&answer(&hub, question).await) {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => {
+                log::error!("cannot encode a copy: {error}");
+                (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+            }
+        }
+    })
+    .await;
+}
+
+async fn answer(hub: &Hub, question: Question) -> Copy {
+    let arrived = clock::since_boot();
+    let after = if question.run == hub.incarnation {
+        question.after
+    } else {
+        0
+    };
+    if question.waits {
+        hub.asked_for_changes();
+        let mut changed = hub.changed.subscribe();
+        let due = async { while !is_due(hub, after) && changed.changed().await.is_ok() {} };
+        if timeout(WAIT, due).await.is_err() {
+            log::debug!(after; "no change to pass on");
+        }
+    }
+    changes_after(hub, after, arrived)
+}
+
+/// Whether a question for what comes after a change is answered now.
+fn is_due(hub: &Hub, after: u64) -> bool {
+    let state = hub.state.borrow();
+    let loaded = state.config_feed.loaded && state.servers_feed.loaded;
+    let lost = loaded && !state.is_connected();
+    hub.is_stopping() || lost || (loaded && state.entries.change > after)
+}
+
+fn changes_after(hub: &Hub, after: u64, arrived: Moment) -> Copy {
+    let now = hub.now();
+    let state = hub.state.borrow();
+    let entries = &state.entries;
+    let complete = after == 0 || after < entries.forgotten;
+    let changed = |change: u64| complete || change > after;
+    let config = state.config_text.clone();
+    let weights = state.versions.ages(now);
+    let weights = weights.map(|(model, version, age)| Weights {
+        model: model.clone(),
+        version,
+        age_ms: whole_ms(age.length()),
+        presumed: age.is_presumed(),
+    });
+    let proven = state.proof.newest();
+    Copy {
+        run: hub.incarnation,
+        change: entries.change,
+        connected: state.is_connected() && !hub.is_stopping(),
+        complete,
+        config: config.filter(|_| changed(entries.config)),
+        servers_revision: state.servers_feed.revision,
+        servers_changed: state.servers_feed.changed,
+        servers: entries
+            .servers
+            .iter()
+            .filter(|(_, (change, _))| changed(*change))
+            .map(|(name, (_, text))| (name.clone(), Rc::clone(text)))
+            .collect(),
+        removed: entries
+            .removed
+            .iter()
+            .filter(|(change, _)| !complete && *change > after)
+            .map(|(_, name)| name.clone())
+            .collect(),
+        weights: if changed(entries.weights) {
+            weights.collect()
+        } else {
+            Vec::new()
+        },
+        proven: proven.map(|(version, at)| Proven {
+            version,
+            after_ms: offset_ms(arrived, at),
+        }),
+    }
+}
+
+/// Milliseconds from one moment to another, rounded down.
+fn offset_ms(from: Moment, to: Moment) -> i64 {
+    if let Some(later) = to.checked_sub(from) {
+        i64::try_from(later.as_millis()).unwrap_or(i64::MAX)
+    } else {
+        let earlier = from.saturating_sub(to).as_millis();
+        i64::try_from(earlier).map_or(i64::MIN, |ms| -ms - 1)
+    }
+}
+
+/// Follows another host whenever this one does not follow the store, for as long as the process runs.
+pub(crate) async fn follow(hub: Rc<Hub>) {
+    let mut source = hub.source.subscribe();
+    let mut followed: Option<(IpAddr, Link)> = None;
+    let mut question = Question::default();
+    loop {
+        let now = *source.borrow_and_update();
+        let Source::Host(host) = now else {
+            followed = None;
+            question = Question::default();
+            if source.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        let link = match followed.take() {
+            Some((former, link)) if former == host && link.is_ready() => Some(link),
+            _ => {
+                question = Question::default();
+                None
+            }
+        };
+        question.waits = true;
+        // A proof counts from here: the answer may wait on the way, and this host may be suspended meanwhile.
+        let asked = clock::since_boot();
+        match ask(&hub, host, link, question).await {
+            Ok((link, copy)) if copy.connected && !is_behind(&hub, &copy) => {
+                question = Question {
+                    run: copy.run,
+                    after: copy.change,
+                    waits: true,
+                };
+                adopt(&hub, &copy, asked, "relay");
+                note_in_touch(&hub, &copy);
+                followed = Some((host, link));
+            }
+            Ok((_, copy)) => {
+                log::info!(peer:% = host, connected = copy.connected;
+                    "the followed host is behind or has lost the store; looking for another source");
+                hub.relay_failed(host);
+                sleep(RETRY).await;
+            }
+            Err(error) => {
+                log::info!(peer:% = host; "the followed host does not answer: {error}");
+                hub.relay_failed(host);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Whether a copy lacks changes of servers that this host knows.
+fn is_behind(hub: &Hub, copy: &Copy) -> bool {
+    copy.servers_changed < hub.state.borrow().servers_feed.changed
+}
+
+/// The followed host is in touch with the store, so this one is, too.
+fn note_in_touch(hub: &Hub, copy: &Copy) {
+    for kind in [Kind::Config, Kind::Servers, Kind::Weights] {
+        hub.note_feed(kind, true);
+        hub.state.borrow_mut().feed(kind).loaded = true;
+    }
+    let mut state = hub.state.borrow_mut();
+    let feed = &mut state.servers_feed;
+    feed.revision = feed.revision.max(copy.servers_revision);
+    feed.changed = feed.changed.max(copy.servers_changed);
+}
+
+/// Asks a host once for everything that it knows, and takes it in.
+pub(crate) async fn fetch(hub: &Hub, host: IpAddr) -> std::io::Result<()> {
+    let asked = clock::since_boot();
+    let (_, copy) = ask(hub, host, None, Question::default()).await?;
+    log::info!(peer:% = host, servers = copy.servers.len(); "copy of a peer taken in");
+    let (connected, known) = {
+        let feed = &hub.state.borrow().servers_feed;
+        (feed.connected(), feed.revision)
+    };
+    let behind = !connected && copy.servers_revision > known;
+    let copy = Copy {
+        complete: copy.complete && behind,
+        servers: if behind { copy.servers } else { Vec::new() },
+        ..copy
+    };
+    adopt(hub, &copy, asked, "peer");
+    if behind {
+        hub.state.borrow_mut().servers_feed.revision = copy.servers_revision;
+    }
+    Ok(())
+}
+
+async fn ask(
+    hub: &Hub,
+    host: IpAddr,
+    link: Option<Link>,
+    question: Question,
+) -> std::io::Result<(Link, Copy)> {
+    let port = hub.settings.borrow().peer_port;
+    let address = SocketAddr::new(host, port);
+    let within = if question.waits {
+        WAIT + ANSWER
+    } else {
+        ANSWER
+    };
+    let exchange = async {
+        let mut link = match link {
+            Some(link) => link,
+            None => Link::open(address, ANSWER, ANSWER).await?,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = Uri::try_from(question.path()).map_err(std::io::Error::other)?;
+        if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let response = link.send(request).await.map_err(std::io::Error::other)?;
+        let body = Limited::new(response.into_body(), MOST_BYTES)
+            .collect()
+            .await;
+        let body = body.map_err(std::io::Error::other)?.to_bytes();
+        let copy = serde_json::from_slice(&body).map_err(std::io::Error::other)?;
+        if !link.settle().await {
+            return Err(std::io::Error::other("the connection cannot be used again"));
+        }
+        Ok((link, copy))
+    };
+    timeout(within, exchange).await?
+}
+
+fn adopt(hub: &Hub, copy: &Copy, asked: Moment, source: &str) {
+    if let Some(config) = &copy.config {
+        hub.adopt_config(config, source);
+    }
+    if let Some(proven) = &copy.proven {
+        let offset = Duration::from_millis(proven.after_ms.unsigned_abs());
+        let at = if proven.after_ms < 0 {
+            asked.checked_sub(offset)
+        } else {
+            Some(asked + offset)
+        };
+        if let Some(at) = at {
+            hub.state.borrow_mut().proof.confirm(proven.version, at);
+        }
+    }
+    for weights in &copy.weights {
+        let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
+        hub.name_weights(&weights.model, weights.version, Some(age), source);
+    }
+    if copy.complete {
+        hub.replace_servers(copy.servers.iter().map(|(name, text)| (name, &**text)));
+    } else {
+        for (name, text) in &copy.servers {
+            hub.adopt_server(name, text);
+        }
+        for name in &copy.removed {
+            hub.remove_server(name);
+        }
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,6 +6,7 @@
     entry,
     store::{Change, Object},
 };
+use jaystand_dispatch::relay::Source;
 use jaystand_types::{Moment, Version};
 use rand::RngExt as _;
 use tokio::time::sleep;
@@ -16,7 +17,7 @@
     store::{Error, WATCH},
 };
 
-/// Changes of servers gather for this long for each host of the fleet.
+/// Changes of servers gather for this long for each host that follows the store.
 const GATHER_PER_HOST: Duration = Duration::from_millis(25);
 /// Longest time for which they gather. A server that leaves must get no request after two seconds.
 const LONGEST_GATHER: Duration = Duration::from_millis(1_500);
@@ -26,11 +27,21 @@
 /// The store's return is noticed at most this late; a change of the configuration is due within two seconds.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(900);
 
-/// Follows one kind of objects for as long as the process runs.
+/// Follows one kind of objects for as long as the process runs, while this host follows the store.
 ///
 /// A watch that failed is followed by a list, and by a second one a little later: while a store forgets its
 /// history, a new watch may hear nothing of the changes that are made meanwhile.
 pub(crate) async fn follow(hub: Rc<Hub>, kind: Kind) {
+    let mut source = hub.source.subscribe();
+    while source.wait_for(|now| *now == Source::Store).await.is_ok() {
+        tokio::select! {
+            () = follow_store(&hub, kind) => {}
+            _ = source.wait_for(|now| *now != Source::Store) => {}
+        }
+    }
+}
+
+async fn follow_store(hub: &Rc<Hub>, kind: Kind) {
     let mut backoff = FIRST_BACKOFF;
     let mut lost = false;
     loop {
@@ -42,9 +53,9 @@
                 if unreadable > 0 {
                     log::warn!(feed = kind.as_str(), unreadable; "objects that cannot be read are passed over");
                 }
-                adopt_list(&hub, kind, &objects, revision, asked);
+                adopt_list(hub, kind, &objects, revision, asked);
                 let first_wait = if lost { CONFIRM_AFTER } else { WATCH };
-                lost = watch(&hub, kind, revision, first_wait).await;
+                lost = watch(hub, kind, revision, first_wait).await;
             }
             Err(error) => {
                 hub.note_feed(kind, false);
@@ -86,7 +97,7 @@
                     return false;
                 }
                 if kind == Kind::Servers {
-                    sleep(gather_pause(hub.hosts())).await;
+                    sleep(gather_pause(hub.hosts_at_store())).await;
                 }
             }
             Err(Error::Forgotten) => {
@@ -106,8 +117,8 @@
     }
 }
 
-/// The pause after changes of servers, in which further changes gather. A call of every host for every change
-/// would grow with the square of the fleet.
+/// The pause after changes of servers, in which further changes gather, with so many hosts that follow the store. A
+/// call of each of them for every change would grow with the square of the fleet.
 pub(crate) fn gather_pause(hosts: usize) -> Duration {
     let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
     GATHER_PER_HOST.saturating_mul(hosts).min(LONGEST_GATHER)
@@ -157,6 +168,9 @@
     let mut ticks = hub.timer.every(period);
     loop {
         ticks.tick().await;
+        if *hub.source.borrow() != Source::Store {
+            continue;
+        }
         let asked = clock::since_boot();
         match hub.store.list(&hub.metrics, Kind::Config.in_store()).await {
             Ok((objects, ..)) => adopt_configs(&hub, &objects, asked),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -114,7 +114,7 @@
 
 /// Answers whether the host takes new connections.
 pub(crate) async fn serve_readiness(hub: Rc<Hub>, listener: TcpListener) {
-    serve_text(hub, listener, |hub, request| {
+    serve_text(hub, listener, async |hub: Rc<Hub>, request| {
         if request.uri().path() != READINESS_PATH {
             return (StatusCode::NOT_FOUND, Vec::new());
         }
@@ -129,7 +129,7 @@
 
 /// Serves the metrics.
 pub(crate) async fn serve_metrics(hub: Rc<Hub>, listener: TcpListener) {
-    serve_text(hub, listener, |hub, request| {
+    serve_text(hub, listener, async |hub: Rc<Hub>, request| {
         if request.method() == Method::GET {
             (StatusCode::OK, hub.metrics.text())
         } else {
@@ -139,11 +139,11 @@
     .await;
 }
 
-/// Serves short texts that need no waiting.
+/// Serves texts to the platform and to other hosts.
 pub(crate) async fn serve_text(
     hub: Rc<Hub>,
     listener: TcpListener,
-    answer: impl Fn(&Hub, &Request<Incoming>) -> (StatusCode, Vec<u8>) + Copy + 'static,
+    answer: impl AsyncFn(Rc<Hub>, Request<Incoming>) -> (StatusCode, Vec<u8>) + Copy + 'static,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -157,10 +157,13 @@
         let hub = Rc::clone(&hub);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let (status, text) = answer(&hub, &request);
-                let mut response = Response::new(Reply::Whole(Some(text.into())));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
+                let hub = Rc::clone(&hub);
+                async move {
+                    let (status, text) = answer(hub, request).await;
+                    let mut response = Response::new(Reply::Whole(Some(text.into())));
+                    *response.status_mut() = status;
+                    Ok::<_, Infallible>(response)
+                }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -21,17 +21,20 @@
     lease::Record,
     load::Peers,
     placement::Store as PartStore,
+    prompt,
     proof::Proof,
     reach::Reach,
+    relay::{self, Relays, Source},
     weights::{Age, Versions},
 };
 use jaystand_kernel::timer::Timer;
-use jaystand_types::{Model, Moment, ServerName, Version};
+use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
 use serde_json::value::RawValue;
 use tokio::sync::{Notify, watch};
 
 use crate::{
     clock,
+    copy::Entries,
     metrics::Metrics,
     pool::{Lent, Pool},
     settings::Settings,
@@ -55,6 +58,12 @@
     pub(crate) state: RefCell<State>,
     /// Wakes the part that gives weight orders.
     pub(crate) weights_changed: Notify,
+    /// The hosts of the data centre, from which this one may learn what the store holds.
+    pub(crate) relays: RefCell<Relays<IpAddr>>,
+    /// Where this host learns what the store holds.
+    pub(crate) source: watch::Sender<Source<IpAddr>>,
+    /// Number of the newest change that this host has taken in; also sent when the store is lost.
+    pub(crate) changed: watch::Sender<u64>,
     /// Makes the feed of servers list again.
     pub(crate) list_servers: Notify,
     /// Wakes the part that reports to peers.
@@ -84,8 +93,8 @@
     /// When the configuration was last known to be the newest, by the clock that counts suspensions.
     pub(crate) proof: Proof,
     pub(crate) directory: Directory,
-    /// Entries of the known servers as the store holds them, for peers that cannot reach it.
-    pub(crate) entries: HashMap<ServerName, Rc<RawValue>>,
+    /// What the store holds, for hosts that follow this one or cannot reach the store.
+    pub(crate) entries: Entries,
     pub(crate) versions: Versions,
     pub(crate) holdings: Holdings,
     pub(crate) budget: Budget,
@@ -111,6 +120,9 @@
     pub(crate) servers_revision: Version,
     pub(crate) servers_changed: Version,
     pub(crate) connected: bool,
+    /// Run of its process, once it was heard itself.
+    pub(crate) incarnation: Option<u64>,
+    pub(crate) data_centre: Option<DataCentre>,
     /// Whether it was asked to stop.
     pub(crate) stopping: bool,
 }
@@ -158,7 +170,7 @@
             config_text: None,
             proof: Proof::new(settings.revocation),
             directory: Directory::default(),
-            entries: HashMap::new(),
+            entries: Entries::default(),
             versions: Versions::new(settings.weights),
             holdings: Holdings::default(),
             budget: Budget::new(settings.budget.clone()),
@@ -172,11 +184,16 @@
             fresh_parts: VecDeque::new(),
             updates: HashMap::new(),
         };
+        let timer = Timer::new();
+        let relays = Relays::new(settings.listen.front.ip(), timer.now());
         Self {
             store: Store::new(settings.store),
+            relays: RefCell::new(relays),
+            source: watch::Sender::new(Source::Unknown),
+            changed: watch::Sender::new(0),
             settings: RefCell::new(settings),
             incarnation,
-            timer: Timer::new(),
+            timer,
             metrics,
             pool: Pool::default(),
             state: RefCell::new(state),
@@ -233,6 +250,8 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         state.config = Some(Arc::new(config));
         state.config_text = Some(Rc::from(text.to_owned()));
+        state.entries.note_config();
+        self.changed.send_replace(state.entries.change());
         Some(version)
     }
 
@@ -247,9 +266,8 @@
             }
         };
         let mut state = self.state.borrow_mut();
-        state
-            .entries
-            .insert(name.clone(), Rc::from(text.to_owned()));
+        state.entries.put_server(name, text);
+        self.changed.send_replace(state.entries.change());
         let leaving = entry.leaving;
         let address = entry.address;
         let change = state.directory.upsert(entry);
@@ -269,7 +287,8 @@
         let mut state = self.state.borrow_mut();
         let change = state.directory.remove(now, name);
         if change == Change::Removed {
-            state.entries.remove(name);
+            state.entries.remove_server(name);
+            self.changed.send_replace(state.entries.change());
         }
         if change != Change::Nothing {
             log::info!(server = name, change = change_name(change); "server's entry is gone");
@@ -311,6 +330,8 @@
         });
         if state.versions.name(now, model, version, age) {
             log::info!(model = model.as_str(), version, source; "weights named");
+            state.entries.note_weights();
+            self.changed.send_replace(state.entries.change());
             self.weights_changed.notify_one();
         }
     }
@@ -362,11 +383,50 @@
             (None, false) => {
                 feed.lost_since = Some(now);
                 log::warn!(feed = kind.as_str(); "the store does not answer; going on with what is known");
+                self.changed.send_replace(state.entries.change());
             }
             _ => {}
         }
     }
 
+    /// Chooses anew where this host learns what the store holds.
+    pub(crate) fn choose_source(&self) {
+        let source = self.relays.borrow_mut().choose(self.now(), identity);
+        let changed = self.source.send_if_modified(|former| {
+            let changed = *former != source;
+            *former = source;
+            changed
+        });
+        if changed {
+            log::info!(source:? = source; "source of configuration, servers and weights chosen");
+        }
+    }
+
+    /// Another host follows this one.
+    pub(crate) fn asked_for_changes(&self) {
+        self.relays.borrow_mut().asked(self.now());
+        self.choose_source();
+    }
+
+    /// The host that this one follows does not answer, or has lost the store.
+    pub(crate) fn relay_failed(&self, host: IpAddr) {
+        self.relays.borrow_mut().failed(self.now(), host);
+        self.choose_source();
+    }
+
+    /// Hosts of the fleet that follow the store.
+    pub(crate) fn hosts_at_store(&self) -> usize {
+        let mut counts: HashMap<DataCentre, usize> = HashMap::new();
+        counts.insert(self.settings.borrow().data_centre.clone(), 1);
+        let state = self.state.borrow();
+        for host in state.hosts.values() {
+            if let Some(data_centre) = &host.data_centre {
+                *counts.entry(data_centre.clone()).or_default() += 1;
+            }
+        }
+        relay::at_store(counts.into_values())
+    }
+
     /// Whether the configuration is known to be the newest, as far as this host can tell.
     pub(crate) fn config_is_confirmed(&self) -> bool {
         let now = self.now();
@@ -423,6 +483,11 @@
 }
 
 impl State {
+    /// Whether this host is in touch with the store, itself or through another host.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.config_feed.connected() && self.servers_feed.connected()
+    }
+
     pub(crate) fn feed(&mut self, kind: Kind) -> &mut Feed {
         match kind {
             Kind::Config => &mut self.config_feed,
@@ -464,6 +529,14 @@
     }
 }
 
+/// Place of a host in the order of relays, equal on all hosts.
+fn identity(host: IpAddr) -> u64 {
+    match host {
+        IpAddr::V4(address) => prompt::hash(&address.octets()),
+        IpAddr::V6(address) => prompt::hash(&address.octets()),
+    }
+}
+
 /// Whole milliseconds, for logs.
 pub(crate) fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod call;
 mod clock;
+mod copy;
 mod events;
 mod feed;
 mod front;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,29 +6,21 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full, Limited};
 use jaystand_dispatch::{
     lease::Record,
     load::Load,
+    relay::Source,
     report::{self, Schedule},
     weights::Age,
 };
-use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
+use jaystand_types::{DataCentre, Model, Moment};
 use prost::Message;
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
-use serde::{Deserialize, Serialize};
-use serde_json::value::RawValue;
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    time::{sleep, timeout},
-};
+use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    clock, feed, front,
+    clock, copy, feed,
     hub::{Host, Hub, PEER_FRESH, State, whole_ms},
-    link::Link,
 };
 
 /// Hosts that a whole report goes to at most.
@@ -43,14 +35,13 @@
 const HOST_EXPIRY: Duration = Duration::from_secs(4);
 /// Seeds that do not report are tried this often: they may be down, or gone for good.
 const SEED_PERIOD: Duration = Duration::from_secs(1);
-/// How often a host checks whether it needs a copy.
+/// A process that has run for less than this, and knows fewer hosts than the next figure, is new to the others.
+const NEW: Duration = Duration::from_secs(3);
+const MOST_KNOWN_IF_NEW: usize = 24;
+/// How often a host checks where it learns what the store holds, and whether it needs a copy.
 const COPY_PERIOD: Duration = Duration::from_millis(250);
 /// A configuration that a peer has and this host lacks usually comes from the store within this time.
 const COPY_PATIENCE: Duration = Duration::from_millis(500);
-/// Time allowed for a copy.
-const COPY: Duration = Duration::from_millis(600);
-/// Largest copy: a configuration of up to 1 MB, entries of some hundred servers.
-const MOST_COPY: usize = 8 << 20;
 /// Largest report.
 const MOST_REPORT: usize = 8_192;
 /// Token counts travel in this unit.
@@ -69,8 +60,8 @@
     connected: bool,
     #[prost(bool, tag = "5")]
     stopping: bool,
-    #[prost(fixed32, repeated, tag = "6")]
-    hosts: Vec<u32>,
+    #[prost(message, repeated, tag = "6")]
+    groups: Vec<Group>,
     #[prost(message, repeated, tag = "7")]
     loads: Vec<LoadEntry>,
     #[prost(message, repeated, tag = "8")]
@@ -89,6 +80,18 @@
     scope: i32,
     #[prost(uint64, tag = "15")]
     servers_changed: u64,
+    /// Whether the process has just started, and knows few others.
+    #[prost(bool, tag = "16")]
+    new: bool,
+}
+
+/// Hosts of a data centre that were heard lately.
+#[derive(Clone, PartialEq, Message)]
+struct Group {
+    #[prost(string, tag = "1")]
+    data_centre: String,
+    #[prost(fixed32, repeated, tag = "2")]
+    hosts: Vec<u32>,
 }
 
 /// What a report states.
@@ -159,17 +162,6 @@
     presumed: bool,
 }
 
-/// A copy of what the store holds.
-#[derive(Serialize, Deserialize)]
-struct Copy {
-    config: Option<Rc<RawValue>>,
-    servers_revision: Version,
-    servers: Vec<(ServerName, Rc<RawValue>)>,
-    weights: Vec<(Model, Version)>,
-    /// The newest configuration, and the milliseconds since it was known to be the newest.
-    proven: Option<(Version, u64)>,
-}
-
 /// Reports to other hosts for as long as the process runs.
 ///
 /// A few hosts, others each time, get a whole report; all others get a brief one. What must be known at once goes to
@@ -196,7 +188,7 @@
         let mut rest = others.split_off(others.len().min(MOST_RECEIVERS));
         rest.truncate(report::MOST_BRIEF);
         let mut receivers = others;
-        if now.saturating_sub(seeds_tried) >= SEED_PERIOD {
+        if receivers.is_empty() || now.saturating_sub(seeds_tried) >= SEED_PERIOD {
             seeds_tried = now;
             let settings = hub.settings.borrow();
             let own = settings.listen.front.ip();
@@ -240,6 +232,7 @@
             updates: self.updates.clone(),
             parts: self.parts.clone(),
             scope: Scope::Brief.into(),
+            data_centre: self.data_centre.clone(),
             ..Self::default()
         }
     }
@@ -258,6 +251,7 @@
             abandoned_fence: self.abandoned_fence,
             updates: self.updates.into_iter().filter(recent).collect(),
             scope: Scope::News.into(),
+            data_centre: self.data_centre,
             ..Self::default()
         }
     }
@@ -290,20 +284,14 @@
         .directory
         .iter()
         .filter(|server| !server.load.is_idle());
-    let hosts: Vec<u32> = state
-        .hosts
-        .keys()
-        .filter_map(|address| match address {
-            IpAddr::V4(address) => Some(address.to_bits()),
-            IpAddr::V6(_) => None,
-        })
-        .collect();
+    let heard: Vec<(&IpAddr, &DataCentre)> = heard_hosts(state).collect();
+    let named = heard.sample(&mut rand::rng(), NAMED_HOSTS).copied();
     Report {
         incarnation: hub.incarnation,
         config_version: state.config.as_ref().map_or(0, |config| config.version()),
         servers_revision: state.servers_feed.revision,
         servers_changed: state.servers_feed.changed,
-        connected: state.config_feed.connected() && state.servers_feed.connected(),
+        connected: state.is_connected(),
         stopping: hub.is_stopping(),
         lease: hub
             .lease_held
@@ -317,10 +305,8 @@
             }),
         data_centre: hub.settings.borrow().data_centre.to_string(),
         abandoned_fence: hub.lease_abandoned.get(),
-        hosts: hosts
-            .sample(&mut rand::rng(), NAMED_HOSTS)
-            .copied()
-            .collect(),
+        groups: group(named),
+        new: is_new(state, now),
         loads: busy
             .map(|server| LoadEntry {
                 server: server.key,
@@ -353,29 +339,76 @@
         weights: state
             .versions
             .ages(now)
-            .map(|(model, version, age)| {
-                let (length, presumed) = match age {
-                    Age::Known(length) => (length, false),
-                    Age::Presumed(length) => (length, true),
-                };
-                WeightsEntry {
-                    model: model.to_string(),
-                    version,
-                    age_ms: whole_ms(length),
-                    presumed,
-                }
+            .map(|(model, version, age)| WeightsEntry {
+                model: model.to_string(),
+                version,
+                age_ms: whole_ms(age.length()),
+                presumed: age.is_presumed(),
             })
             .collect(),
     }
 }
 
+/// Hosts that were heard themselves. Those that are only named by others may be dead, and are not named again.
+fn heard_hosts(state: &State) -> impl Iterator<Item = (&IpAddr, &DataCentre)> {
+    let heard = state
+        .hosts
+        .iter()
+        .filter(|(_, host)| host.incarnation.is_some());
+    heard.filter_map(|(address, host)| Some((address, host.data_centre.as_ref()?)))
+}
+
+fn group<'a>(hosts: impl Iterator<Item = (&'a IpAddr, &'a DataCentre)>) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    for (address, data_centre) in hosts {
+        let IpAddr::V4(address) = address else {
+            continue;
+        };
+        let known = groups.iter().position(|g| g.data_centre == **data_centre);
+        let index = known.unwrap_or_else(|| {
+            groups.push(Group {
+                data_centre: data_centre.to_string(),
+                hosts: Vec::new(),
+            });
+            groups.len() - 1
+        });
+        groups[index].hosts.push(address.to_bits());
+    }
+    groups
+}
+
+/// Whether the process has just started, so that other hosts should name those of its data centre.
+fn is_new(state: &State, now: Moment) -> bool {
+    now < NEW && state.hosts.len() < MOST_KNOWN_IF_NEW
+}
+
+/// What a host that has just started needs to find the others of its data centre.
+fn welcome(hub: &Hub, data_centre: &str) -> Report {
+    let state = hub.state.borrow();
+    let hosts = heard_hosts(&state).filter(|(_, other)| **other == data_centre);
+    Report {
+        incarnation: hub.incarnation,
+        stopping: hub.is_stopping(),
+        data_centre: hub.settings.borrow().data_centre.to_string(),
+        groups: group(hosts),
+        scope: Scope::News.into(),
+        ..Report::default()
+    }
+}
+
 /// Takes reports in for as long as the process runs.
 pub(crate) async fn listen(hub: Rc<Hub>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MOST_REPORT];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match Report::decode(&buffer[..length]) {
-                Ok(report) => take_in(&hub, from.ip(), &report),
+                Ok(report) => {
+                    take_in(&hub, from.ip(), &report);
+                    if report.new {
+                        let welcome = welcome(&hub, &report.data_centre);
+                        send(&hub, &socket, &welcome, &[from.ip()]).await;
+                    }
+                }
                 Err(error) => log::warn!("report of {from} cannot be read: {error}"),
             },
             Err(error) => log::debug!("cannot receive reports: {error}"),
@@ -389,29 +422,14 @@
     }
     for weights in &report.weights {
         let model = Model::from(weights.model.as_str());
-        let age = Duration::from_millis(weights.age_ms);
-        let age = if weights.presumed {
-            Age::Presumed(age)
-        } else {
-            Age::Known(age)
-        };
+        let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
         hub.name_weights(&model, weights.version, Some(age), "peer");
     }
     let now = hub.now();
     let mut learned = Vec::new();
     {
-        let own = hub.settings.borrow().listen.front.ip();
         let mut state = hub.state.borrow_mut();
-        for bits in &report.hosts {
-            let address = IpAddr::V4(Ipv4Addr::from_bits(*bits));
-            if address != own {
-                let new = Host {
-                    seen: now,
-                    ..Host::default()
-                };
-                state.hosts.entry(address).or_insert(new);
-            }
-        }
+        learn_hosts(hub, &mut state, now, from, report);
         let was_stopping = state.hosts.get(&from).is_some_and(|host| host.stopping);
         if report.stopping && !was_stopping {
             hub.lease_doubted.set(true);
@@ -420,6 +438,8 @@
         let host = state.hosts.entry(from).or_default();
         host.seen = now;
         host.stopping = report.stopping;
+        host.incarnation = Some(report.incarnation);
+        host.data_centre = Some(report.data_centre.as_str().into());
         if report.scope() == Scope::Whole {
             take_in_whole(&mut state, now, from, report);
         }
@@ -471,6 +491,35 @@
     }
 }
 
+/// Learns of the hosts that a report names, and of the one that sent it.
+fn learn_hosts(hub: &Hub, state: &mut State, now: Moment, from: IpAddr, report: &Report) {
+    let settings = hub.settings.borrow();
+    let own = settings.listen.front.ip();
+    let mut relays = hub.relays.borrow_mut();
+    for group in &report.groups {
+        for bits in &group.hosts {
+            let address = IpAddr::V4(Ipv4Addr::from_bits(*bits));
+            if address == own || state.hosts.contains_key(&address) {
+                continue;
+            }
+            let named = Host {
+                seen: now,
+                data_centre: Some(group.data_centre.as_str().into()),
+                ..Host::default()
+            };
+            state.hosts.insert(address, named);
+            if group.data_centre == settings.data_centre {
+                relays.heard(now, address);
+            }
+        }
+    }
+    if report.stopping {
+        relays.gone(from);
+    } else if report.data_centre == settings.data_centre {
+        relays.heard(now, from);
+    }
+}
+
 /// Takes in what only whole reports state.
 fn take_in_whole(state: &mut State, now: Moment, from: IpAddr, report: &Report) {
     let host = Host {
@@ -479,6 +528,8 @@
         servers_revision: report.servers_revision,
         servers_changed: report.servers_changed,
         connected: report.connected,
+        incarnation: Some(report.incarnation),
+        data_centre: Some(report.data_centre.as_str().into()),
         stopping: report.stopping,
     };
     state.hosts.insert(from, host);
@@ -487,41 +538,6 @@
         .heard(now, &DataCentre::from(report.data_centre.as_str()));
 }
 
-/// Serves copies to other hosts.
-pub(crate) async fn serve_copies(hub: Rc<Hub>, listener: TcpListener) {
-    front::serve_text(hub, listener, |hub, _| {
-        match serde_json::to_vec(&copy_of(hub)) {
-            Ok(text) => (http::StatusCode::OK, text),
-            Err(error) => {
-                log::error!("cannot encode a copy: {error}");
-                (http::StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-            }
-        }
-    })
-    .await;
-}
-
-fn copy_of(hub: &Hub) -> Copy {
-    let state = hub.state.borrow();
-    let proven = state.proof.newest();
-    let age = |at: Moment| clock::since_boot().saturating_sub(at);
-    Copy {
-        proven: proven.map(|(version, at)| (version, whole_ms(age(at)) + 1)),
-        config: state.config_text.clone(),
-        servers_revision: state.servers_feed.revision,
-        servers: state
-            .entries
-            .iter()
-            .map(|(name, text)| (name.clone(), Rc::clone(text)))
-            .collect(),
-        weights: state
-            .versions
-            .iter()
-            .map(|(model, version)| (model.clone(), version))
-            .collect(),
-    }
-}
-
 /// Fetches copies from peers whenever they know more than this host.
 pub(crate) async fn fetch_copies(hub: Rc<Hub>) {
     let mut ticks = hub.timer.every(COPY_PERIOD);
@@ -529,12 +545,13 @@
     let mut hangs_since: Option<Moment> = None;
     loop {
         let now = ticks.tick().await;
+        hub.choose_source();
         if servers_hang(&hub, now) {
             let since = *hangs_since.get_or_insert(now);
-            let patience = COPY_PATIENCE + feed::gather_pause(hub.hosts());
+            let patience = COPY_PATIENCE + feed::gather_pause(hub.hosts_at_store());
             if now.saturating_sub(since) > patience {
                 hangs_since = None;
-                hub.list_servers.notify_one();
+                list_again(&hub);
             }
         } else {
             hangs_since = None;
@@ -548,19 +565,23 @@
         if !empty && now.saturating_sub(since) < COPY_PATIENCE {
             continue;
         }
-        // The age of the peer's proof counts from here: the answer may wait on the way.
-        let asked = clock::since_boot();
-        match timeout(COPY, fetch(&hub, source)).await {
-            Ok(Ok(copy)) => {
-                log::info!(peer:% = source, servers = copy.servers.len(); "copy of a peer taken in");
-                adopt(&hub, &copy, asked);
-            }
-            Ok(Err(error)) => log::info!(peer:% = source; "no copy: {error}"),
-            Err(_) => log::info!(peer:% = source; "no copy in time"),
+        if let Err(error) = copy::fetch(&hub, source).await {
+            log::info!(peer:% = source; "no copy: {error}");
         }
     }
 }
 
+/// Leaves a source that has fallen behind.
+fn list_again(hub: &Hub) {
+    let source = *hub.source.borrow();
+    if let Source::Host(host) = source {
+        log::warn!(peer:% = host; "the followed host has fallen behind others; looking for another source");
+        hub.relay_failed(host);
+    } else {
+        hub.list_servers.notify_one();
+    }
+}
+
 /// Whether a live host knows newer servers although the feed of this host seems to work: its watch hangs.
 fn servers_hang(hub: &Hub, now: Moment) -> bool {
     let state = hub.state.borrow();
@@ -591,42 +612,3 @@
         .collect();
     better.choose(&mut rand::rng()).copied()
 }
-
-async fn fetch(hub: &Hub, peer: IpAddr) -> std::io::Result<Copy> {
-    let port = hub.settings.borrow().peer_port;
-    let address = SocketAddr::new(peer, port);
-    let mut link = Link::open(address, COPY, COPY).await?;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = http::Uri::from_static("/copy");
-    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
-        request.headers_mut().insert(header::HOST, host);
-    }
-    let response = link.send(request).await.map_err(std::io::Error::other)?;
-    let body = Limited::new(response.into_body(), MOST_COPY)
-        .collect()
-        .await;
-    let body = body.map_err(std::io::Error::other)?.to_bytes();
-    serde_json::from_slice(&body).map_err(std::io::Error::other)
-}
-
-fn adopt(hub: &Hub, copy: &Copy, asked: Moment) {
-    if let Some(config) = &copy.config {
-        hub.adopt_config(config, "peer");
-    }
-    if let Some((version, age_ms)) = copy.proven
-        && let Some(at) = asked.checked_sub(Duration::from_millis(age_ms))
-    {
-        hub.state.borrow_mut().proof.confirm(version, at);
-    }
-    for (model, version) in &copy.weights {
-        hub.name_weights(model, *version, None, "peer");
-    }
-    let behind = {
-        let state = hub.state.borrow();
-        !state.servers_feed.connected() && copy.servers_revision > state.servers_feed.revision
-    };
-    if behind {
-        hub.replace_servers(copy.servers.iter().map(|(name, text)| (name, &**text)));
-        hub.state.borrow_mut().servers_feed.revision = copy.servers_revision;
-    }
-}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    clock, feed, front,
+    clock, copy, feed, front,
     hub::{Hub, Kind, whole_ms},
     logs,
     metrics::Metrics,
@@ -83,7 +83,8 @@
     let callers = front::listen(settings.listen.front).into_diagnostic()?;
     spawn_local(peer::listen(Rc::clone(&hub), Rc::clone(&socket)));
     spawn_local(peer::report(Rc::clone(&hub), socket));
-    spawn_local(peer::serve_copies(Rc::clone(&hub), copies));
+    spawn_local(copy::serve(Rc::clone(&hub), copies));
+    spawn_local(copy::follow(Rc::clone(&hub)));
     spawn_local(peer::fetch_copies(Rc::clone(&hub)));
     if let Some(period) = hub.state.borrow().proof.read_period() {
         spawn_local(feed::prove(Rc::clone(&hub), period));
@@ -138,6 +139,8 @@
     log::info!(open = hub.open.get(), grace_ms = whole_ms(grace); "asked to stop");
     hub.stopped_at.set(Some(hub.now()));
     hub.stopping.send_replace(true);
+    // Hosts that follow this one look for another.
+    hub.changed.send_modify(|_| {});
     hub.report_now.notify_one();
     // Until the platform has noticed, it sends new connections, which are served.
     let least = front::CLOSE_IDLE_AFTER + STOP_PERIOD;
@@ -189,7 +192,8 @@
             let mut state = hub.state.borrow_mut();
             let gone = state.directory.expire(now);
             for name in &gone {
-                state.entries.remove(name);
+                state.entries.remove_server(name);
+                hub.changed.send_replace(state.entries.change());
             }
             gone
         };
