Bound what servers may send, watch the parts of the process, and count only events as progress

Now: bytes between two pieces of an answer are bounded (`meter`), bodies share a quarter of the host's memory (`buffer`), progress is whole events, a refusal without an identity proves something only on a fresh connection, refusals are read for 500 ms and 64 KB at most, and parts that panic start again, logged, counted and not ready meanwhile (`supervise`). Also mended: a host that has just started waited 0.4 to 0.8 s for news of its data centre before it asked the store.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -28,6 +28,8 @@
         NoServer,
         /// Every server that was tried refused it or could not be reached.
         Attempts,
+        /// Its body does not fit into the memory for bodies.
+        Memory,
         /// Its first token would come after its deadline.
         Overload,
         /// Its deadline has passed.
@@ -47,6 +49,7 @@
             Self::Unproven => "unproven",
             Self::NoServer => "no_server",
             Self::Attempts => "attempts",
+            Self::Memory => "memory",
             Self::Overload => "overload",
             Self::Deadline => "deadline",
             Self::Stopping => "stopping",
@@ -76,9 +79,11 @@
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE) / 2,
         // Another host, which the caller comes back to, may have the proof.
         Reason::Attempts | Reason::Unproven => LEAST_PAUSE,
-        Reason::NoConfiguration | Reason::Unconfirmed | Reason::NoServer | Reason::Deadline => {
-            SERVERS_CHANGE
-        }
+        Reason::NoConfiguration
+        | Reason::Unconfirmed
+        | Reason::NoServer
+        | Reason::Memory
+        | Reason::Deadline => SERVERS_CHANGE,
     };
     wanted.max(LEAST_PAUSE).min(left / FOLLOWED_PART)
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use jaystand_adapter::{
     request::{self, Additions},
@@ -25,8 +25,10 @@
 
 use crate::{
     admit::{self, Admitted, own},
+    buffer,
     hub::{FreshPart, Hub, whole_ms},
     link::Fault,
+    meter::Metered,
     pool::Lent,
     relay,
     reply::Reply,
@@ -46,8 +48,12 @@
 const STREAM_PATIENCE: u32 = 3;
 /// A plain request that may be repeated is tried elsewhere after its objective, or after this time without one.
 const PLAIN_PATIENCE: Duration = Duration::from_millis(400);
-/// Largest answer of a plain service.
-const MOST_ANSWER: usize = 16 << 20;
+/// Largest answer of a plain service: as much as the sheets let a caller send.
+const MOST_ANSWER: usize = 4 << 20;
+/// Largest body of a refusal that is read so that its connection can be used again.
+const MOST_REFUSAL: usize = 64 << 10;
+/// Time allowed for that; the body comes with its head.
+const REFUSAL_READ: Duration = Duration::from_millis(500);
 
 /// A request with what has happened to it.
 pub(crate) struct Call {
@@ -101,7 +107,7 @@
 pub(crate) struct Answer {
     pub(crate) head: response::Head,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
+    pub(crate) body: Metered,
     pub(crate) lent: Lent,
     pub(crate) ticket: Ticket,
     pub(crate) choice: Choice,
@@ -189,14 +195,19 @@
     }
 
     async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
-        let most = self.hub.body_limit();
-        let read = Limited::new(body, most.unwrap_or(usize::MAX)).collect();
+        let hub = Rc::clone(&self.hub);
+        let read = hub.buffers.collect(body, hub.body_limit());
         let answer = match timeout(self.left(), read).await {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(buffer::Fault::TooLong(_))) => {
                 self.reject(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
             }
-            Ok(Err(_)) => self.reject(StatusCode::BAD_REQUEST, "body broke off"),
+            Ok(Err(buffer::Fault::Full)) => self.give_up(&Stop {
+                reason: Reason::Memory,
+            }),
+            Ok(Err(buffer::Fault::Broken(_))) => {
+                self.reject(StatusCode::BAD_REQUEST, "body broke off")
+            }
             Err(_) => self.give_up(&Stop {
                 reason: Reason::Deadline,
             }),
@@ -229,9 +240,10 @@
             framed: _,
         } = answer;
         let server = lent.server;
-        let read = Limited::new(body, MOST_ANSWER).collect();
+        let hub = Rc::clone(&self.hub);
+        let read = hub.buffers.collect(body, MOST_ANSWER);
         let body = match timeout(self.left(), read).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.note(server, Outcome::Broken);
                 log::info!(request = self.id.as_str(), server = self.server.as_str();
@@ -245,7 +257,6 @@
         };
         drop(ticket);
         let took = self.hub.now().saturating_sub(sent);
-        let hub = Rc::clone(&self.hub);
         if !head.closes {
             let idle = head.idle;
             tokio::task::spawn_local(async move { hub.give_back(lent, idle).await });
@@ -345,7 +356,7 @@
         self.note_alive(server);
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &self.id);
-        match self.judge(server, &head) {
+        match self.judge(server, &head, lent.reused) {
             Use::Pass => {}
             Use::Drop => return None,
             Use::Drain => {
@@ -371,7 +382,7 @@
     }
 
     /// Whether an answer is the server's own to this request.
-    fn judge(&mut self, server: ServerKey, head: &response::Head) -> Use {
+    fn judge(&mut self, server: ServerKey, head: &response::Head, reused: bool) -> Use {
         if head.identity == Identity::Other {
             self.fail(server, Outcome::Broken);
             self.hub.pool.retire(server);
@@ -379,6 +390,14 @@
                 "the answer belongs to another request; connection closed");
             return Use::Drop;
         }
+        if head.not_run && head.identity == Identity::Missing && reused {
+            // It may be a late copy of what the server said of an earlier request, while it runs this one.
+            self.fail(server, Outcome::Broken);
+            self.hub.pool.retire(server);
+            log::warn!(request = self.id.as_str(), server = self.server.as_str();
+                "a refusal without an identity on a reused connection proves nothing; connection closed");
+            return Use::Drop;
+        }
         if head.not_run {
             self.runs -= 1;
             let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -409,13 +428,15 @@
     }
 
     /// Reads a refusal to its end, so that the connection can be used again.
-    fn drain(&self, lent: Lent, head: &response::Head, body: Incoming) {
+    fn drain(&self, lent: Lent, head: &response::Head, body: Metered) {
         if head.closes {
             return;
         }
         let (hub, idle) = (Rc::clone(&self.hub), head.idle);
         tokio::task::spawn_local(async move {
-            if Limited::new(body, MOST_ANSWER).collect().await.is_ok() {
+            // Whoever sends more, or slower, is not worth a connection.
+            let read = hub.buffers.collect(body, MOST_REFUSAL);
+            if matches!(timeout(REFUSAL_READ, read).await, Ok(Ok(_))) {
                 hub.give_back(lent, idle).await;
             }
         });
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -168,7 +168,7 @@
 }
 
 /// Answers the questions of other hosts for as long as the process runs.
-pub(crate) async fn serve(hub: Rc<Hub>, listener: TcpListener) {
+pub(crate) async fn serve(hub: Rc<Hub>, listener: Rc<TcpListener>) {
     front::serve_text(hub, listener, async |hub: Rc<Hub>, request| {
         let Some(question) = Question::parse(request.uri()) else {
             return (StatusCode::NOT_FOUND, Vec::new());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,7 @@
 
 const END: &[u8] = b"\n\n";
 const IDENTITY: &[u8] = b"id:";
+const COMMENT: &[u8] = b":";
 
 /// A whole event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +15,15 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether it carries a part of the answer. Comments and empty events do not.
+    #[must_use]
+    pub fn is_progress(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| !line.is_empty() && !line.starts_with(COMMENT))
+    }
+}
+
 /// Collects pieces of a stream until they make whole events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -44,6 +54,12 @@
         Some(Event { bytes, id })
     }
 
+    /// Bytes of the event that is not whole yet.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether no part of an event is left over.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -29,38 +29,70 @@
 
 /// Follows one kind of objects for as long as the process runs, while this host follows the store.
 ///
-/// A watch that failed is followed by a list, and by a second one a little later: while a store forgets its
-/// history, a new watch may hear nothing of the changes that are made meanwhile.
+/// A host that has just started lists once before it knows whom to follow: its callers are waiting already, unless the
+/// whole fleet starts for the first time.
 pub(crate) async fn follow(hub: Rc<Hub>, kind: Kind) {
     let mut source = hub.source.subscribe();
-    while source.wait_for(|now| *now == Source::Store).await.is_ok() {
+    let mut listed = None;
+    loop {
+        let now = *source.borrow_and_update();
+        let first = now == Source::Unknown && !hub.settings.borrow().bootstrap;
+        let run = async {
+            match now {
+                Source::Store => follow_store(&hub, kind, listed.take()).await,
+                _ if first => {
+                    listed = Some(list(&hub, kind).await.0);
+                    std::future::pending::<()>().await;
+                }
+                _ => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            () = follow_store(&hub, kind) => {}
-            _ = source.wait_for(|now| *now != Source::Store) => {}
+            () = run => {}
+            changed = source.changed() => if changed.is_err() {
+                return;
+            }
         }
     }
 }
 
-async fn follow_store(hub: &Rc<Hub>, kind: Kind) {
-    let mut backoff = FIRST_BACKOFF;
+/// Follows the store. A watch that failed is followed by a list, and by a second one a little later: while a store
+/// forgets its history, a new watch may hear nothing of the changes that are made meanwhile.
+async fn follow_store(hub: &Rc<Hub>, kind: Kind, mut listed: Option<Version>) {
     let mut lost = false;
+    loop {
+        let revision = if let Some(revision) = listed.take() {
+            revision
+        } else {
+            let (revision, failed) = list(hub, kind).await;
+            lost |= failed;
+            revision
+        };
+        let first_wait = if lost { CONFIRM_AFTER } else { WATCH };
+        lost = watch(hub, kind, revision, first_wait).await;
+    }
+}
+
+/// Lists until the store answers, and takes the objects in. Returns the revision that they show, and whether calls
+/// failed before.
+async fn list(hub: &Rc<Hub>, kind: Kind) -> (Version, bool) {
+    let mut backoff = FIRST_BACKOFF;
+    let mut failed = false;
     loop {
         let asked = clock::since_boot();
         match hub.store.list(&hub.metrics, kind.in_store()).await {
             Ok((objects, unreadable, revision)) => {
-                backoff = FIRST_BACKOFF;
                 hub.note_feed(kind, true);
                 if unreadable > 0 {
                     log::warn!(feed = kind.as_str(), unreadable; "objects that cannot be read are passed over");
                 }
                 adopt_list(hub, kind, &objects, revision, asked);
-                let first_wait = if lost { CONFIRM_AFTER } else { WATCH };
-                lost = watch(hub, kind, revision, first_wait).await;
+                return (revision, failed);
             }
             Err(error) => {
+                failed = true;
                 hub.note_feed(kind, false);
                 log::debug!(feed = kind.as_str(); "list failed: {error}");
-                lost = true;
                 pause(&mut backoff).await;
             }
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,15 +28,15 @@
 /// The least buffer that the HTTP library accepts.
 const LEAST_BUFFER: usize = 8_192;
 
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) fn listen(address: SocketAddr) -> io::Result<Rc<TcpListener>> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(BACKLOG).map(Rc::new)
 }
 
 /// Accepts callers' connections for as long as the process runs.
-pub(crate) async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+pub(crate) async fn accept(hub: Rc<Hub>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -113,7 +113,7 @@
 }
 
 /// Answers whether the host takes new connections.
-pub(crate) async fn serve_readiness(hub: Rc<Hub>, listener: TcpListener) {
+pub(crate) async fn serve_readiness(hub: Rc<Hub>, listener: Rc<TcpListener>) {
     serve_text(hub, listener, async |hub: Rc<Hub>, request| {
         if request.uri().path() != READINESS_PATH {
             return (StatusCode::NOT_FOUND, Vec::new());
@@ -128,7 +128,7 @@
 }
 
 /// Serves the metrics.
-pub(crate) async fn serve_metrics(hub: Rc<Hub>, listener: TcpListener) {
+pub(crate) async fn serve_metrics(hub: Rc<Hub>, listener: Rc<TcpListener>) {
     serve_text(hub, listener, async |hub: Rc<Hub>, request| {
         if request.method() == Method::GET {
             (StatusCode::OK, hub.metrics.text())
@@ -142,7 +142,7 @@
 /// Serves texts to the platform and to other hosts.
 pub(crate) async fn serve_text(
     hub: Rc<Hub>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     answer: impl AsyncFn(Rc<Hub>, Request<Incoming>) -> (StatusCode, Vec<u8>) + Copy + 'static,
 ) {
     loop {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -33,12 +33,14 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    buffer::Buffers,
     clock,
     copy::Entries,
     metrics::Metrics,
     pool::{Lent, Pool},
     settings::Settings,
     store::Store,
+    supervise,
 };
 
 /// A version that was named before this process started is required this long after the start. A process that
@@ -55,6 +57,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Pool,
     pub(crate) store: Store,
+    pub(crate) buffers: Buffers,
     pub(crate) state: RefCell<State>,
     /// Wakes the part that gives weight orders.
     pub(crate) weights_changed: Notify,
@@ -82,6 +85,8 @@
     pub(crate) lease_abandoned: Cell<Option<u64>>,
     /// The lease that this process holds.
     pub(crate) lease_held: RefCell<Option<(Version, Record)>>,
+    /// Parts of the process that have panicked and not started again.
+    pub(crate) parts_down: Cell<usize>,
     /// Requests without a final answer.
     pub(crate) open: Cell<usize>,
 }
@@ -188,6 +193,7 @@
         let relays = Relays::new(settings.listen.front.ip(), timer.now());
         Self {
             store: Store::new(settings.store),
+            buffers: Buffers::new(settings.buffers),
             relays: RefCell::new(relays),
             source: watch::Sender::new(Source::Unknown),
             changed: watch::Sender::new(0),
@@ -207,6 +213,7 @@
             lease_heard: RefCell::new(None),
             lease_held: RefCell::new(None),
             lease_abandoned: Cell::new(None),
+            parts_down: Cell::new(0),
             open: Cell::new(0),
         }
     }
@@ -219,10 +226,12 @@
         *self.stopping.borrow()
     }
 
-    /// Whether the host can serve: it knows a configuration and servers, and is not asked to stop.
+    /// Whether the host can serve: it knows a configuration and servers, all of its parts run, and it is not asked to
+    /// stop.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.config.is_some() && !state.directory.is_empty() && !self.is_stopping()
+        let knows_enough = state.config.is_some() && !state.directory.is_empty();
+        knows_enough && self.parts_down.get() == 0 && !self.is_stopping()
     }
 
     /// Adopts a configuration if it is newer than the one in force. Returns its version, if it can be read.
@@ -365,6 +374,27 @@
         }
     }
 
+    /// Keeps a part of the process running for as long as it does.
+    pub(crate) fn keep<F>(
+        self: &Rc<Self>,
+        name: &'static str,
+        part: impl Fn(Rc<Self>) -> F + 'static,
+    ) where
+        F: Future<Output = ()> + 'static,
+    {
+        let (maker, reporter) = (Rc::clone(self), Rc::clone(self));
+        let report = move |down: bool| {
+            let parts = reporter.parts_down.get();
+            reporter
+                .parts_down
+                .set(if down { parts + 1 } else { parts - 1 });
+            if down {
+                reporter.metrics.panics.inc();
+            }
+        };
+        supervise::keep(name, move || part(Rc::clone(&maker)), report);
+    }
+
     /// Notes whether the store answers for a kind of objects.
     pub(crate) fn note_feed(&self, kind: Kind, answered: bool) {
         let now = self.now();
@@ -466,13 +496,11 @@
         usize::try_from(accepted).unwrap_or(usize::MAX) / hosts / 2
     }
 
-    /// Largest request body, as far as a configuration states it.
-    pub(crate) fn body_limit(&self) -> Option<usize> {
+    /// Largest request body. Without a configuration no request is admitted.
+    pub(crate) fn body_limit(&self) -> usize {
         let state = self.state.borrow();
-        state
-            .config
-            .as_ref()
-            .map(|config| config.limits().body_bytes)
+        let config = state.config.as_ref();
+        config.map_or(0, |config| config.limits().body_bytes)
     }
 
     /// Hosts that share the retry budget, this one included.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! `hub::Hub` and never borrowed across an await.
 
 mod admit;
+mod buffer;
 mod call;
 mod clock;
 mod copy;
@@ -13,6 +14,7 @@
 mod hub;
 mod link;
 mod logs;
+mod meter;
 mod metrics;
 mod news;
 mod orders;
@@ -25,8 +27,10 @@
 mod socket;
 mod store;
 mod stores;
+mod supervise;
 mod ticket;
 
 pub use events::{Event, Splitter};
 pub use run::{run, run_until, start_logging};
 pub use settings::{Error, Settings};
+pub use supervise::keep;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,21 +6,27 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response,
-    body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use tokio::{task::JoinHandle, time::timeout};
 
-use crate::socket;
+use crate::{
+    meter::{Meter, Metered},
+    socket,
+};
 
 /// A connection is free again when its last answer has been read to the end; this covers the turn of its task.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Bytes that a connection buffers. It bounds the head of an answer, too; the library's own bound is 400 KB.
+const MOST_BUFFERED: usize = 64 << 10;
+
 /// A connection. Dropping it closes it at once, whatever it carries.
 pub(crate) struct Link {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    meter: Meter,
 }
 
 /// Why a request got no answer.
@@ -50,7 +56,10 @@
         unacknowledged: Duration,
     ) -> io::Result<Self> {
         let stream = socket::connect(address, within, unacknowledged).await?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let meter = Meter::default();
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MOST_BUFFERED)
+            .handshake(TokioIo::new(meter.stream(stream)))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -58,16 +67,24 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(Self { sender, task })
+        Ok(Self {
+            sender,
+            task,
+            meter,
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Fault> {
+    ) -> Result<Response<Metered>, Fault> {
+        self.meter.reset();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.meter.reset();
+                Ok(response.map(|body| self.meter.body(body)))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Fault::NotSent),
                 None => Err(Fault::Broken(error.into_error())),
--- /dev/null
+++ b/crates/gateway/src/meter.rs
@@ -0,0 +1,131 @@
+//! Bounds the bytes that a server may send without moving its answer on.
+//!
+//! The HTTP library bounds heads and trailers, but not interim answers or the digits of a chunk's size: a server that
+//! sends zeros without end would be read until the deadline.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Bytes that may come between two pieces of an answer, its head counted as a piece. The library buffers 64 KB.
+const MOST_BETWEEN: usize = 256 << 10;
+
+/// Bytes that have come since the last piece.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Meter(Rc<Cell<usize>>);
+
+/// A connection that breaks when too many bytes come between two pieces.
+pub(crate) struct Stream {
+    tcp: TcpStream,
+    meter: Meter,
+}
+
+/// The body of an answer, whose pieces the meter counts from.
+pub(crate) struct Metered {
+    body: Incoming,
+    meter: Meter,
+}
+
+impl Meter {
+    /// A piece of the answer has come, or none is due.
+    pub(crate) fn reset(&self) {
+        self.0.set(0);
+    }
+
+    pub(crate) fn stream(&self, tcp: TcpStream) -> Stream {
+        Stream {
+            tcp,
+            meter: self.clone(),
+        }
+    }
+
+    pub(crate) fn body(&self, body: Incoming) -> Metered {
+        Metered {
+            body,
+            meter: self.clone(),
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let count = self.meter.0.get();
+        if count > MOST_BETWEEN {
+            let message = format!("over {MOST_BETWEEN} bytes that are no part of an answer");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.tcp).poll_read(context, buffer);
+        self.meter.0.set(count + buffer.filled().len() - before);
+        result
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+}
+
+impl Body for Metered {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if frame.is_ready() {
+            self.meter.reset();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) orders: IntCounterVec,
     /// Log lines that were dropped.
     pub(crate) dropped_lines: IntCounter,
+    /// Parts of the process that panicked and started again.
+    pub(crate) panics: IntCounter,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
     /// Known servers.
@@ -57,6 +59,11 @@
             "Log lines dropped to bound their number.",
         )?;
         registry.register(Box::new(dropped_lines.clone()))?;
+        let panics = IntCounter::new(
+            "jaystand_panics_total",
+            "Panics of parts of the process, which started again.",
+        )?;
+        registry.register(Box::new(panics.clone()))?;
         Ok(Self {
             requests: counters(
                 "jaystand_requests_total",
@@ -88,6 +95,7 @@
             peers: gauge("jaystand_peers", "Hosts that report.")?,
             latency,
             dropped_lines,
+            panics,
             registry,
         })
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,10 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use jaystand_dispatch::health::Outcome;
 use tokio::{
     sync::mpsc,
@@ -15,6 +14,7 @@
 use crate::{
     call::{Answer, Call, answered},
     events::Splitter,
+    meter::Metered,
     reply::{BrokenOff, Reply},
 };
 
@@ -29,6 +29,9 @@
 /// Longest pause of routes that state none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Largest event. Events of the deployments have some hundred bytes.
+const MOST_EVENT: usize = 256 << 10;
+
 /// How a stream, or one server's part of it, ended.
 enum End {
     /// Complete.
@@ -57,7 +60,8 @@
             }
         }
         let server = answer.lent.server;
-        match timeout(call.patience(), next_piece(&mut answer.body)).await {
+        let whole_event = call.route.repeatable();
+        match timeout(call.patience(), first_piece(&mut answer.body, whole_event)).await {
             Ok(Some(Ok(first))) => {
                 answer.ticket.computed();
                 let took = call.hub.now().saturating_sub(answer.sent);
@@ -67,7 +71,8 @@
             }
             Ok(Some(Err(error))) => {
                 call.note(server, Outcome::Broken);
-                log::info!(request = call.id.as_str(); "stream broke before its first event: {error}");
+                log::info!(request = call.id.as_str(), server = call.server_name();
+                    "stream broke before its first event: {error}");
             }
             Ok(None) => {
                 call.note(server, Outcome::Broken);
@@ -172,14 +177,14 @@
         let mut splitter = Splitter::default();
         let mut at_boundary = true;
         let mut last_piece = call.hub.now();
+        // Bytes that make no whole event are no progress: a server may send one now and then.
+        let mut progress = Instant::now();
         let end = loop {
             let bytes = if let Some(bytes) = piece.take() {
                 bytes
             } else {
                 let next = next_piece(&mut answer.body);
-                let silent_at = self
-                    .silence
-                    .map_or(self.until, |most| Instant::now() + most);
+                let silent_at = self.silence.map_or(self.until, |most| progress + most);
                 let next = tokio::select! {
                     next = timeout_at(self.until.min(silent_at), next) => next,
                     () = to.closed() => break End::CallerGone,
@@ -195,6 +200,7 @@
                         if call.may_leave() {
                             break End::Silent;
                         }
+                        progress = Instant::now();
                         continue;
                     }
                     Err(_) => break End::Overdue,
@@ -212,10 +218,18 @@
                         continue;
                     }
                     self.last_event = event.id.or(self.last_event);
+                    if event.is_progress() {
+                        progress = Instant::now();
+                    }
                     if to.send(Ok(event.bytes)).await.is_err() {
                         return (End::CallerGone, self.last_event);
                     }
                 }
+                if splitter.pending() > MOST_EVENT {
+                    log::warn!(request = call.id.as_str(), server = call.server_name(),
+                        bytes = splitter.pending(); "an event without end; connection closed");
+                    break End::Broken;
+                }
             } else {
                 at_boundary = bytes.ends_with(b"\n\n");
                 if to.send(Ok(bytes)).await.is_err() {
@@ -274,7 +288,41 @@
     }
 }
 
-async fn next_piece(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+/// The first piece of a stream; the first whole event where events are passed on whole.
+async fn first_piece(body: &mut Metered, whole_event: bool) -> Option<Result<Bytes, Fault>> {
+    let mut pieces = BytesMut::new();
+    let mut splitter = Splitter::default();
+    loop {
+        let piece = match next_piece(body).await? {
+            Ok(piece) => piece,
+            Err(error) => return Some(Err(Fault::Broken(error))),
+        };
+        if !whole_event {
+            return Some(Ok(piece));
+        }
+        pieces.extend_from_slice(&piece);
+        splitter.push(&piece);
+        while let Some(event) = splitter.next_event() {
+            if event.is_progress() {
+                return Some(Ok(pieces.freeze()));
+            }
+        }
+        if pieces.len() > MOST_EVENT {
+            return Some(Err(Fault::NoEvent(pieces.len())));
+        }
+    }
+}
+
+/// Why a stream has no first event.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("{0}")]
+    Broken(hyper::Error),
+    #[error("{0} bytes without a whole event")]
+    NoEvent(usize),
+}
+
+async fn next_piece(body: &mut Metered) -> Option<Result<Bytes, hyper::Error>> {
     loop {
         match body.frame().await? {
             Ok(frame) => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,7 +20,7 @@
     metrics::Metrics,
     news, orders, peer,
     settings::Settings,
-    socket, stores,
+    socket, stores, supervise,
 };
 
 /// How often idle connections, missing servers and dropped log lines are looked after.
@@ -41,6 +41,7 @@
 pub fn start_logging(settings: &Settings) -> miette::Result<()> {
     let bucket = logs::Bucket::new(settings.log_lines);
     let output: Box<dyn std::io::Write + Send> = Box::new(logs::Output::open().into_diagnostic()?);
+    supervise::log_panics();
     jaystand_kernel::install_logging_with(
         settings.host.as_str(),
         settings.log_level,
@@ -81,27 +82,43 @@
     let copies = front::listen(peer_address.into()).into_diagnostic()?;
     let ready = front::listen(settings.listen.ready).into_diagnostic()?;
     let callers = front::listen(settings.listen.front).into_diagnostic()?;
-    spawn_local(peer::listen(Rc::clone(&hub), Rc::clone(&socket)));
-    spawn_local(peer::report(Rc::clone(&hub), socket));
-    spawn_local(copy::serve(Rc::clone(&hub), copies));
-    spawn_local(copy::follow(Rc::clone(&hub)));
-    spawn_local(peer::fetch_copies(Rc::clone(&hub)));
-    if let Some(period) = hub.state.borrow().proof.read_period() {
-        spawn_local(feed::prove(Rc::clone(&hub), period));
+    let reports = Rc::clone(&socket);
+    hub.keep("reports received", move |hub| {
+        peer::listen(hub, Rc::clone(&reports))
+    });
+    hub.keep("reports sent", move |hub| {
+        peer::report(hub, Rc::clone(&socket))
+    });
+    hub.keep("copies for others", move |hub| {
+        copy::serve(hub, Rc::clone(&copies))
+    });
+    hub.keep("copies of others", copy::follow);
+    hub.keep("peers watched", peer::fetch_copies);
+    let proof_period = hub.state.borrow().proof.read_period();
+    if let Some(period) = proof_period {
+        hub.keep("proof of the configuration", move |hub| {
+            feed::prove(hub, period)
+        });
     }
     for kind in [Kind::Config, Kind::Servers, Kind::Weights] {
-        spawn_local(feed::follow(Rc::clone(&hub), kind));
+        hub.keep(kind.as_str(), move |hub| feed::follow(hub, kind));
     }
-    spawn_local(front::serve_readiness(Rc::clone(&hub), ready));
-    spawn_local(front::accept(Rc::clone(&hub), callers));
+    hub.keep("readiness", move |hub| {
+        front::serve_readiness(hub, Rc::clone(&ready))
+    });
+    hub.keep("callers", move |hub| {
+        front::accept(hub, Rc::clone(&callers))
+    });
     if let Some(address) = settings.listen.metrics {
         let listener = front::listen(address).into_diagnostic()?;
-        spawn_local(front::serve_metrics(Rc::clone(&hub), listener));
+        hub.keep("metrics", move |hub| {
+            front::serve_metrics(hub, Rc::clone(&listener))
+        });
     }
-    spawn_local(orders::run(Rc::clone(&hub)));
-    spawn_local(news::listen(Rc::clone(&hub)));
-    spawn_local(stores::watch(Rc::clone(&hub)));
-    spawn_local(keep_house(Rc::clone(&hub)));
+    hub.keep("weight orders", orders::run);
+    hub.keep("news of engines", news::listen);
+    hub.keep("stores of kept parts", stores::watch);
+    hub.keep("housekeeping", keep_house);
     log::info!(version = env!("CARGO_PKG_VERSION"), incarnation, front:% = settings.listen.front;
         "started");
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,11 @@
 
 /// Log lines a second that one process writes at most. A line costs about 10 microseconds of processor time.
 const DEFAULT_LOG_LINES: u32 = 150;
+/// Memory of the smallest hosts, in MB.
+const DEFAULT_MEMORY_MB: u32 = 88;
+/// Bodies may take one part in so many of a host's memory. The process itself takes 5 to 13 MB, and connections as much
+/// again as the bodies on them.
+const BUFFERS_PART: usize = 4;
 /// Requests must begin on the new weights this long before the bound, which covers late news of them. The wait
 /// in the server is added.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
@@ -63,11 +68,15 @@
     data_centre: DataCentre,
     peer_port: u16,
     #[serde(default)]
+    bootstrap: bool,
+    #[serde(default)]
     seeds: Vec<SocketAddr>,
     listen: Listen,
     store: StoreDocument,
     bounds: BoundsDocument,
     #[serde(default)]
+    limits: LimitsDocument,
+    #[serde(default)]
     log: LogDocument,
 }
 
@@ -110,6 +119,12 @@
     revoke_ms: f64,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LimitsDocument {
+    memory_mb: Option<u32>,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogDocument {
@@ -124,6 +139,8 @@
     pub(crate) data_centre: DataCentre,
     /// Port of the traffic between hosts, the same on all of them.
     pub(crate) peer_port: u16,
+    /// Whether the whole fleet starts for the first time, so that no caller waits yet.
+    pub(crate) bootstrap: bool,
     /// Hosts that may know the others.
     pub(crate) seeds: Vec<IpAddr>,
     pub(crate) listen: Listen,
@@ -135,6 +152,8 @@
     pub(crate) budget: budget::Settings,
     /// Time after which a key that was taken away must not be accepted, whether the store can be reached or not.
     pub(crate) revocation: Option<Duration>,
+    /// Memory for bodies that are read as a whole, in bytes.
+    pub(crate) buffers: usize,
     pub(crate) log_level: LevelFilter,
     pub(crate) log_lines: u32,
 }
@@ -186,6 +205,15 @@
                 })
             }
         };
+        let memory_mb = document.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        if memory_mb == 0 {
+            return Err(Error::Range {
+                path: path.to_owned(),
+                field: "limits.memory_mb",
+                value: memory_mb.to_string(),
+                wanted: "above 0",
+            });
+        }
         let weights_bound = time("bounds.weights_ms", bounds.weights_ms, 1e-3)?;
         Ok(Self {
             grace: time("bounds.grace_s", bounds.grace_s, 1.0)?,
@@ -204,11 +232,16 @@
                 .then(|| time("bounds.revoke_ms", bounds.revoke_ms, 1e-3))
                 .transpose()?,
             seeds: document.seeds.iter().map(SocketAddr::ip).collect(),
+            bootstrap: document.bootstrap,
             host: document.host,
             data_centre: document.data_centre,
             peer_port: document.peer_port,
             listen: document.listen,
             store: document.store.address,
+            buffers: usize::try_from(memory_mb)
+                .unwrap_or(usize::MAX)
+                .saturating_mul(1 << 20)
+                / BUFFERS_PART,
             log_level: document.log.level.unwrap_or(LevelFilter::Info),
             log_lines: document.log.lines_per_s.unwrap_or(DEFAULT_LOG_LINES),
         })
