Confirm the first list of a host, and a watch that fails while it confirms

A host that has just started lists at once and watches 0.4 s later; a change between the two was missed when the watch heard nothing. A watch that confirms a list and is cut was followed by a list without a confirmation, too. Now both are followed by a list 1.2 s later.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -59,7 +59,8 @@
 /// Follows the store. A watch that failed is followed by a list, and by a second one a little later: while a store
 /// forgets its history, a new watch may hear nothing of the changes that are made meanwhile.
 async fn follow_store(hub: &Rc<Hub>, kind: Kind, mut listed: Option<Version>) {
-    let mut lost = false;
+    // The list of a host that has just started is some time old when its first watch begins.
+    let mut lost = listed.is_some();
     loop {
         let revision = if let Some(revision) = listed.take() {
             revision
@@ -136,7 +137,6 @@
                 log::info!(feed = kind.as_str(), revision; "the store has forgotten this history; listing again");
                 return true;
             }
-            Err(_) if wait != WATCH => return false,
             Err(error) => {
                 hub.note_feed(kind, false);
                 log::debug!(feed = kind.as_str(); "watch failed: {error}");
