Ask the first server for parts that no store gets

Cause: a prompt whose own part is larger than its shared one is not saved, yet it was fetched from the store, which never had it.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -303,7 +303,7 @@
             stock.held = stock.held.min(shared - fetched).max(f64::from(held));
             stock.fetched = fetched;
             stock.source = Some(address);
-        } else if let Some(store) = store {
+        } else if let Some(store) = store.filter(|_| worth_saving) {
             // Another host may have had it saved; a miss costs a millisecond.
             stock.source = Some(store.address);
         } else if let Some(home) = home.filter(|home| home.key != server.key) {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -397,6 +397,26 @@
     assert!(place(9_000).expect("a server").save_to.is_none());
 }
 
+/// Guards against a fetch that always misses: the shared part of a prompt that is mostly its own was never saved, so the
+/// first server of its order, which other hosts use, is asked instead of the store.
+#[test]
+fn a_part_that_is_never_saved_is_not_fetched_from_the_store() {
+    let mut world = World::new(30);
+    world.stores = vec![store(1)];
+    let long = prompt("a", 4_800, 9_000);
+    let home = world.place(ms(1), &long, &[]).expect("a server").server;
+    let first = world.directory.get_mut(home).expect("known");
+    let address = first.entry.address;
+    first.load.add(Load {
+        active: 60,
+        prefill: 9_000_000,
+        memory: 150_000,
+    });
+    let elsewhere = world.place(ms(1), &long, &[]).expect("a server");
+    assert_ne!(elsewhere.server, home);
+    assert_eq!(elsewhere.fetch_from, Some(address));
+}
+
 /// The load of tanekaha-tanks-grown scale-1 at second 20: with a quarter of the engines gone, long prompts wait for
 /// memory on the others. Guards against short prompts being refused for the wait of the long ones: 1,165 of 1,640
 /// requests were expected after 3 s, while those that were sent began after 1.2 s.
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use jaystand_dispatch::{
     prompt,
@@ -23,7 +23,7 @@
 
 /// The hosts of one data centre, which hear each other with gaps.
 struct Fleet {
-    hosts: HashMap<Host, Relays<Host>>,
+    hosts: BTreeMap<Host, Relays<Host>>,
     heard_share: f64,
     rng: Pcg64Mcg,
 }
@@ -39,7 +39,7 @@
     }
 
     /// One round of reports at a moment, and of questions to the chosen relays.
-    fn round(&mut self, now: u64) -> HashMap<Host, Source<Host>> {
+    fn round(&mut self, now: u64) -> BTreeMap<Host, Source<Host>> {
         let all: Vec<Host> = self.hosts.keys().copied().collect();
         for relays in self.hosts.values_mut() {
             for other in &all {
@@ -48,7 +48,7 @@
                 }
             }
         }
-        let sources: HashMap<Host, Source<Host>> = self
+        let sources: BTreeMap<Host, Source<Host>> = self
             .hosts
             .iter_mut()
             .map(|(host, relays)| (*host, relays.choose(ms(now), identity)))
@@ -66,8 +66,8 @@
         sources
     }
 
-    fn run(&mut self, from: u64, until: u64) -> HashMap<Host, Source<Host>> {
-        let mut sources = HashMap::new();
+    fn run(&mut self, from: u64, until: u64) -> BTreeMap<Host, Source<Host>> {
+        let mut sources = BTreeMap::new();
         let mut now = from;
         while now < until {
             sources = self.round(now);
@@ -77,7 +77,7 @@
     }
 }
 
-fn at_the_store(sources: &HashMap<Host, Source<Host>>) -> usize {
+fn at_the_store(sources: &BTreeMap<Host, Source<Host>>) -> usize {
     let direct = |source: &&Source<Host>| **source == Source::Store;
     sources.values().filter(direct).count()
 }
@@ -118,13 +118,25 @@
     for relay in &relays {
         fleet.hosts.remove(relay);
     }
-    let sources = fleet.run(20_000, 22_000);
+    // A host that stops to be asked may choose a dead relay as long as it remembers it; it must leave it at once.
+    let mut before = fleet.round(20_000);
+    for step in 1..=20 {
+        let sources = fleet.round(20_000 + 400 * step);
+        for (host, source) in &sources {
+            if let Source::Host(relay) = source {
+                let again = relays.contains(relay) && before.get(host) == Some(source);
+                assert!(!again, "host {host} stays with {relay}, which is dead");
+            }
+        }
+        before = sources;
+    }
+    let sources = fleet.run(28_400, 30_000);
     for source in sources.values() {
         if let Source::Host(relay) = source {
             assert!(!relays.contains(relay), "host {relay} is dead");
         }
     }
-    let sources = fleet.run(22_000, 45_000);
+    let sources = fleet.run(30_000, 45_000);
     let direct = at_the_store(&sources);
     assert!((RELAYS..=2 * RELAYS).contains(&direct), "{direct} hosts");
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -199,9 +199,26 @@
     }
 }
 
+/// Logs when keys are no longer accepted for want of a proof, and when they are again. Returns whether they are.
+fn note_keys(hub: &Hub, before: bool) -> bool {
+    let accepted = hub.accepts_keys();
+    let state = hub.state.borrow();
+    let proven = state.proof.newest();
+    let age_ms = proven.map(|(_, at)| whole_ms(clock::since_boot().saturating_sub(at)));
+    match (before, accepted) {
+        (true, false) => {
+            log::warn!(age_ms; "keys are refused: the configuration is not proven to be recent");
+        }
+        (false, true) => log::info!(age_ms; "keys are accepted"),
+        _ => {}
+    }
+    accepted
+}
+
 async fn keep_house(hub: Rc<Hub>) {
     let mut ticks = hub.timer.every(HOUSEKEEPING);
     let mut offset = clock::since_boot().saturating_sub(hub.now());
+    let mut accepted_keys = false;
     loop {
         let now = ticks.tick().await;
         hub.pool.expire();
@@ -218,6 +235,7 @@
             log::info!(server = name.as_str(); "missing entry did not return; the server is taken as gone");
         }
         probe_doubtful(&hub, now);
+        accepted_keys = note_keys(&hub, accepted_keys);
         let dropped = logs::take_dropped();
         if dropped > 0 {
             hub.metrics.dropped_lines.inc_by(dropped);
