Let followers stay while their source lists again

Now a source counts as in touch until it has not reached the store for 800 ms; a list follows a cut watch within some hundred. Ruled out: relays that were really behind (none was left as `behind`).

--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -33,6 +33,9 @@
 const WAIT: Duration = Duration::from_secs(1);
 /// Time allowed for an answer beyond the wait, and for a connection. Ways take about 3 ms.
 const ANSWER: Duration = Duration::from_millis(600);
+/// Followers leave a host that has lost the store for longer. A watch that is cut is followed by a list within some
+/// hundred milliseconds; if all followers left at once, each would go to the store.
+const LOST_PATIENCE: Duration = Duration::from_millis(800);
 /// Pause after a failure, before another host is asked.
 const RETRY: Duration = Duration::from_millis(30);
 /// Largest copy: a configuration of up to 1 MB, entries of some hundred servers.
@@ -206,7 +209,7 @@
 fn is_due(hub: &Hub, after: u64) -> bool {
     let state = hub.state.borrow();
     let loaded = state.config_feed.loaded && state.servers_feed.loaded;
-    let lost = loaded && !state.is_connected();
+    let lost = loaded && !state.is_connected_within(hub.now(), LOST_PATIENCE);
     hub.is_stopping() || lost || (loaded && state.entries.change > after)
 }
 
@@ -228,7 +231,7 @@
     Copy {
         run: hub.incarnation,
         change: entries.change,
-        connected: state.is_connected() && !hub.is_stopping(),
+        connected: state.is_connected_within(now, LOST_PATIENCE) && !hub.is_stopping(),
         complete,
         config: config.filter(|_| changed(entries.config)),
         servers_revision: state.servers_feed.revision,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -516,6 +516,15 @@
         self.config_feed.connected() && self.servers_feed.connected()
     }
 
+    /// Whether this host is in touch with the store, or was until less than `patience` ago.
+    pub(crate) fn is_connected_within(&self, now: Moment, patience: Duration) -> bool {
+        let in_touch = |feed: &Feed| {
+            let lost = feed.lost_since.map(|since| now.saturating_sub(since));
+            feed.loaded && lost.is_none_or(|lost| lost < patience)
+        };
+        in_touch(&self.config_feed) && in_touch(&self.servers_feed)
+    }
+
     pub(crate) fn feed(&mut self, kind: Kind) -> &mut Feed {
         match kind {
             Kind::Config => &mut self.config_feed,
