--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     admit::{self, Admitted, own},
-    buffer,
+    buffer, clock,
     hub::{FreshPart, Hub, whole_ms},
     link::Fault,
     meter::Metered,
@@ -68,6 +68,8 @@
     prompt: Option<Prompt>,
     arrived: Moment,
     pub(crate) deadline: Moment,
+    /// The deadline by the clock that counts suspensions.
+    expires: Moment,
     tried: SmallVec<[ServerKey; 4]>,
     server: CompactString,
     sends: u32,
@@ -161,6 +163,7 @@
             salt: Salt::new(admitted.team.as_deref()),
             prompt: request::prompt(&parts.headers),
             deadline: arrived + admitted.patience,
+            expires: clock::since_boot() + admitted.patience,
             last_event: admitted.last_event,
             service: admitted.service,
             team: admitted.team,
@@ -189,9 +192,10 @@
         &self.server
     }
 
-    /// Time until the deadline.
+    /// Time until the deadline. The caller's clock goes on while this host is suspended.
     pub(crate) fn left(&self) -> Duration {
-        self.deadline.saturating_sub(self.hub.now())
+        let left = self.deadline.saturating_sub(self.hub.now());
+        left.min(self.expires.saturating_sub(clock::since_boot()))
     }
 
     async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -306,10 +306,14 @@
             &name,
             engine::ORDER_METHOD,
             order,
+            || lease.borrow().grant(clock::since_boot()) == Some(fence),
         )
         .await;
         let reply = match answer {
             Ok((status, _)) => engine::reply(status),
+            Err(Fault::NotSent) if lease.borrow().grant(clock::since_boot()).is_none() => {
+                return "lease lost";
+            }
             Err(Fault::NotSent) => {
                 note_unreachable(hub, update.server);
                 return "unreachable";
@@ -350,7 +354,17 @@
     address: SocketAddr,
     name: &str,
 ) -> Result<Option<Report>, &'static str> {
-    match ask(hub, server, address, name, Method::GET, Bytes::new()).await {
+    match ask(
+        hub,
+        server,
+        address,
+        name,
+        Method::GET,
+        Bytes::new(),
+        || true,
+    )
+    .await
+    {
         Ok((status, body)) if status.is_success() => match engine::report(&body) {
             Ok(report) => Ok(Some(report)),
             Err(error) => {
@@ -405,7 +419,8 @@
     }
 }
 
-/// Makes one call to an engine: a report when the method is GET, or an order.
+/// Makes one call to an engine: a report when the method is GET, or an order. Whether it is permitted is asked right
+/// before it is sent.
 async fn ask(
     hub: &Rc<Hub>,
     server: ServerKey,
@@ -413,6 +428,7 @@
     name: &str,
     method: Method,
     body: Bytes,
+    permitted: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), Fault> {
     let mut lent = match hub.pool.lend(server, address, ANSWER).await {
         Ok(lent) => lent,
@@ -421,6 +437,12 @@
             return Err(Fault::NotSent);
         }
     };
+    // The process may have been paused while it connected.
+    if !permitted() {
+        log::warn!(server = name; "the lease on weight orders has run out; nothing is sent");
+        hub.give_back(lent, None).await;
+        return Err(Fault::NotSent);
+    }
     let headers = engine::headers(name, &address.to_string()).unwrap_or_else(|error| {
         log::error!(server = name; "cannot build a call: {error}");
         HeaderMap::new()
