Teach the soak servers that babble

Cause: the soak did not play what operators of similar systems saw: copies of answers, late refusals without an identity, crumbs of events, bytes without end. Conclusion: test equipment only.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -187,6 +187,14 @@
                 let slot = self.servers[index].lock().await;
                 pause(slot.as_ref().map(|running| &running.child), lasts).await;
             }
+            Fault::Babble(index) => {
+                let slot = self.servers[index].lock().await;
+                if let Some(running) = slot.as_ref() {
+                    // A process that has just started does not handle the signal yet and would end by it.
+                    sleep(HANDLES_SIGNALS).await;
+                    signal(&running.child, Signal::USR1);
+                }
+            }
             Fault::Leave(index) => {
                 let mut slot = self.servers[index].lock().await;
                 if let Some(running) = slot.take() {
@@ -539,6 +547,9 @@
     signal(child, Signal::CONT);
 }
 
+/// A server handles signals this long after its start.
+const HANDLES_SIGNALS: Duration = Duration::from_millis(500);
+
 /// Signals a process that this program started; one that has ended has no identity any more.
 fn signal(child: &Child, signal: Signal) {
     let id = child
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -59,6 +59,8 @@
         StoreLosesAnswers,
         /// Watches hear nothing for a while, and the history is dropped.
         StoreForgets,
+        /// A server sends copies of answers, crumbs and bytes without end.
+        Babble(usize),
         /// New weights are named.
         Weights,
         /// A new configuration takes a key away and gives another.
@@ -116,7 +118,7 @@
 }
 
 /// Kinds of faults that `fault` knows.
-const KINDS: u32 = 13;
+const KINDS: u32 = 14;
 
 fn fault(kind: u32, shape: Shape, random: &mut Pcg64Mcg) -> Fault {
     let gateway = random.random_range(0..shape.gateways);
@@ -136,6 +138,7 @@
         9 => Fault::StoreLosesAnswers,
         10 => Fault::StoreForgets,
         11 => Fault::Weights,
+        12 => Fault::Babble(server),
         _ => Fault::Keys,
     }
 }
