Choose the hosts with the largest links as relays

Now the relays of a data centre are its hosts with the largest links (settings `limits.link_mbps`, told in reports), and where all links are small there are more relays: one follower for each 2 Mbit/s. Three hosts of each data centre of the large site have 200. Ruled out: processor time (0.018 core at most of 0.12). Test: copies_leave_the_links_of_relays_free, from the target that a configuration of 0.3 Mbit is out in 0.2 s.

--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -3,8 +3,8 @@
 //! The load that this answers: on tanekaha-tanks-large 295 hosts followed the store each for itself. Their 19,373
 //! calls in a day took 0.36 of its worth. Calls should grow with the data centres instead.
 //!
-//! The relays of a data centre are the first members of a rendezvous order, so that hosts agree on them without a
-//! message. Views differ for a while when hosts come and go: a host that is asked for changes follows the store for
+//! The relays of a data centre are its hosts with the largest links, and among equal ones the first of a rendezvous order,
+//! so that hosts agree on them without a message. Views differ for a while when hosts come and go: a host that is asked for changes follows the store for
 //! as long as it is asked, whether or not it would choose itself.
 
 use std::{hash::Hash, time::Duration};
@@ -16,8 +16,11 @@
 
 /// In smaller data centres every host follows the store; relays would save few calls.
 const LEAST_MEMBERS: usize = 4;
-/// From this size on a data centre has two relays: one alone would spend its processor on its followers.
+/// From this size on a data centre has two relays at least: one may be frozen or cut off while the other serves.
 const TWO_RELAYS: usize = 9;
+/// Mbit/s of a relay's link for each of its followers. A configuration for 190 teams has some 0.3 Mbit, and the requests
+/// of the relay's own callers wait behind its copies.
+const LINK_FOR_FOLLOWER: u32 = 2;
 /// A member that was not heard for this long is gone. In a fleet of 295 hosts each hears 72 others in 400 ms.
 const MEMBER_EXPIRY: Duration = Duration::from_secs(8);
 /// A host follows the store for this long after it was last asked for changes.
@@ -46,6 +49,7 @@
 #[derive(Clone, Debug)]
 pub struct Relays<P> {
     own: P,
+    link: u32,
     started: Moment,
     members: HashMap<P, Member>,
     asked: Option<Moment>,
@@ -54,31 +58,37 @@
 #[derive(Clone, Copy, Debug)]
 struct Member {
     heard: Moment,
+    /// Mbit/s of its link; 0 while it is not known.
+    link: u32,
     failed: Option<Moment>,
 }
 
 impl<P: Copy + Eq + Hash> Relays<P> {
-    /// No other host is known yet.
+    /// No other host is known yet. `link` is the host's own, in Mbit/s.
     #[must_use]
-    pub fn new(own: P, started: Moment) -> Self {
+    pub fn new(own: P, link: u32, started: Moment) -> Self {
         Self {
             own,
+            link,
             started,
             members: HashMap::new(),
             asked: None,
         }
     }
 
-    /// A host of the data centre gave a sign of life.
-    pub fn heard(&mut self, now: Moment, host: P) {
+    /// A host of the data centre gave a sign of life. `link` is in Mbit/s, and 0 when others only named the host.
+    pub fn heard(&mut self, now: Moment, host: P, link: u32) {
         if host == self.own {
             return;
         }
         let new = Member {
             heard: now,
+            link: 0,
             failed: None,
         };
-        self.members.entry(host).or_insert(new).heard = now;
+        let member = self.members.entry(host).or_insert(new);
+        member.heard = now;
+        member.link = member.link.max(link);
     }
 
     /// A host of the data centre is about to stop.
@@ -120,32 +130,47 @@
             return Source::Store;
         }
         let sound = self.members.iter().filter(|(_, member)| !failed(member));
-        let mut order: Vec<(u64, P)> = sound
-            .map(|(host, _)| (prompt::mix(0, identity(*host)), *host))
-            .chain([(prompt::mix(0, own), self.own)])
+        let mut order: Vec<(u32, u64, P)> = sound
+            .map(|(host, member)| (member.link, prompt::mix(0, identity(*host)), *host))
+            .chain([(self.link, prompt::mix(0, own), self.own)])
             .collect();
-        order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        order.truncate(relays(order.len()));
-        if order.iter().any(|(_, host)| *host == self.own) {
+        order.sort_unstable_by_key(|(link, weight, _)| std::cmp::Reverse((*link, *weight)));
+        order.truncate(relays(order.iter().map(|(link, ..)| *link)));
+        if order.iter().any(|(.., host)| *host == self.own) {
             return Source::Store;
         }
         let turn = usize::try_from(own % order.len() as u64).unwrap_or(0);
-        Source::Host(order[turn].1)
+        Source::Host(order[turn].2)
     }
 }
 
-/// Hosts that follow the store, in data centres of so many hosts each.
-pub fn at_store(data_centres: impl Iterator<Item = usize>) -> usize {
-    data_centres.map(relays).sum()
+/// Hosts that follow the store, in data centres whose hosts have links of so many Mbit/s.
+pub fn at_store(data_centres: impl Iterator<Item = Vec<u32>>) -> usize {
+    let each = data_centres.map(|mut links| {
+        links.sort_unstable_by_key(|link| std::cmp::Reverse(*link));
+        relays(links.into_iter())
+    });
+    each.sum()
 }
 
-/// Hosts that follow the store, of a data centre with so many.
-fn relays(hosts: usize) -> usize {
-    match hosts {
-        ..LEAST_MEMBERS => hosts,
+/// Hosts that follow the store, of a data centre whose hosts have these links, the largest first.
+fn relays(links: impl ExactSizeIterator<Item = u32>) -> usize {
+    let hosts = links.len();
+    let least = match hosts {
+        ..LEAST_MEMBERS => return hosts,
         LEAST_MEMBERS..TWO_RELAYS => 1,
         TWO_RELAYS.. => 2,
+    };
+    let mut served = 0;
+    for (number, link) in links.enumerate() {
+        if number >= least && served + number >= hosts {
+            return number;
+        }
+        served += usize::try_from(link / LINK_FOR_FOLLOWER)
+            .unwrap_or(usize::MAX)
+            .max(1);
     }
+    hosts
 }
 
 /// A share in hundredths, by identity.
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -17,6 +17,11 @@
 /// Relays of a large data centre.
 const RELAYS: usize = 2;
 
+/// Mbit/s: three hosts of each data centre of tanekaha-tanks-large have ten times the link of the others.
+fn link_of(host: Host) -> u32 {
+    if host < 3 { 200 } else { 20 }
+}
+
 fn identity(host: Host) -> u64 {
     prompt::hash(&host.to_le_bytes())
 }
@@ -30,7 +35,7 @@
 
 impl Fleet {
     fn new(hosts: u32, heard_share: f64) -> Self {
-        let relays = (0..hosts).map(|host| (host, Relays::new(host, ms(0))));
+        let relays = (0..hosts).map(|host| (host, Relays::new(host, link_of(host), ms(0))));
         Self {
             hosts: relays.collect(),
             heard_share,
@@ -44,7 +49,7 @@
         for relays in self.hosts.values_mut() {
             for other in &all {
                 if self.rng.random_bool(self.heard_share) {
-                    relays.heard(ms(now), *other);
+                    relays.heard(ms(now), *other, link_of(*other));
                 }
             }
         }
@@ -152,9 +157,9 @@
 /// Guards against a data centre that is cut off together with its relays and asks one host after the other.
 #[test]
 fn after_two_failures_a_host_goes_to_the_store() {
-    let mut relays = Relays::new(0, ms(0));
+    let mut relays = Relays::new(0, 200, ms(0));
     for host in 1..20 {
-        relays.heard(ms(1_000), host);
+        relays.heard(ms(1_000), host, 200);
     }
     let mut asked = 0;
     while let Source::Host(relay) = relays.choose(ms(1_100), identity) {
@@ -168,7 +173,34 @@
 /// Guards against changes that gather for as long as if every host of the fleet followed the store.
 #[test]
 fn the_hosts_at_the_store_grow_with_data_centres() {
-    assert_eq!(at_store([2, 2, 1, 1].into_iter()), 6);
-    assert_eq!(at_store([4, 4, 4].into_iter()), 3);
-    assert_eq!(at_store([49, 50, 46, 45, 52, 53].into_iter()), 12);
+    let centre = |hosts: u32| (0..hosts).map(link_of).collect();
+    assert_eq!(at_store([2, 2, 1, 1].map(centre).into_iter()), 6);
+    assert_eq!(at_store([4, 4, 4].map(centre).into_iter()), 3);
+    assert_eq!(
+        at_store([49, 50, 46, 45, 52, 53].map(centre).into_iter()),
+        12
+    );
+}
+
+/// Guards against a small host whose link is full of copies: on tanekaha-tanks-large trouble-1 a relay with 20 Mbit/s sent
+/// three new configurations to 25 hosts, and its own callers got nothing for 0.8 s. The hosts with the largest links are
+/// the relays; where all are small there are more of them, so that a configuration of 0.3 Mbit is out in 0.2 s.
+#[test]
+fn copies_leave_the_links_of_relays_free() {
+    let mut fleet = Fleet::new(49, 0.25);
+    let sources = fleet.run(500, 20_000);
+    let followed = sources.values().filter_map(|source| match source {
+        Source::Host(host) => Some(*host),
+        Source::Store | Source::Unknown => None,
+    });
+    assert!(followed.into_iter().all(|host| link_of(host) == 200));
+    for link in [10, 20, 50] {
+        let relays = at_store([vec![link; 49]].into_iter());
+        let followers = (49 - relays).div_ceil(relays);
+        let seconds = 0.3 * f64::from(u32::try_from(followers).expect("few")) / f64::from(link);
+        assert!(
+            seconds <= 0.2,
+            "{relays} relays, {seconds} s at {link} Mbit/s"
+        );
+    }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -128,6 +128,8 @@
     /// Run of its process, once it was heard itself.
     pub(crate) incarnation: Option<u64>,
     pub(crate) data_centre: Option<DataCentre>,
+    /// Mbit/s of its link; 0 while it is not known.
+    pub(crate) link: u32,
     /// Whether it was asked to stop.
     pub(crate) stopping: bool,
 }
@@ -190,7 +192,7 @@
             updates: HashMap::new(),
         };
         let timer = Timer::new();
-        let relays = Relays::new(settings.listen.front.ip(), timer.now());
+        let relays = Relays::new(settings.listen.front.ip(), settings.link, timer.now());
         Self {
             store: Store::new(settings.store),
             buffers: Buffers::new(settings.buffers),
@@ -446,15 +448,19 @@
 
     /// Hosts of the fleet that follow the store.
     pub(crate) fn hosts_at_store(&self) -> usize {
-        let mut counts: HashMap<DataCentre, usize> = HashMap::new();
-        counts.insert(self.settings.borrow().data_centre.clone(), 1);
+        let mut links: HashMap<DataCentre, Vec<u32>> = HashMap::new();
+        let settings = self.settings.borrow();
+        links.insert(settings.data_centre.clone(), vec![settings.link]);
         let state = self.state.borrow();
         for host in state.hosts.values() {
             if let Some(data_centre) = &host.data_centre {
-                *counts.entry(data_centre.clone()).or_default() += 1;
+                links
+                    .entry(data_centre.clone())
+                    .or_default()
+                    .push(host.link);
             }
         }
-        relay::at_store(counts.into_values())
+        relay::at_store(links.into_values())
     }
 
     /// Whether the configuration is known to be the newest, as far as this host can tell.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -83,6 +83,9 @@
     /// Whether the process has just started, and knows few others.
     #[prost(bool, tag = "16")]
     new: bool,
+    /// Mbit/s of the sender's link.
+    #[prost(uint32, tag = "17")]
+    link: u32,
 }
 
 /// Hosts of a data centre that were heard lately.
@@ -231,6 +234,7 @@
             parts: self.parts.clone(),
             scope: Scope::Brief.into(),
             data_centre: self.data_centre.clone(),
+            link: self.link,
             ..Self::default()
         }
     }
@@ -250,6 +254,7 @@
             updates: self.updates.into_iter().filter(recent).collect(),
             scope: Scope::News.into(),
             data_centre: self.data_centre,
+            link: self.link,
             ..Self::default()
         }
     }
@@ -305,6 +310,7 @@
         abandoned_fence: hub.lease_abandoned.get(),
         groups: group(named),
         new: is_new(state, now),
+        link: hub.settings.borrow().link,
         loads: busy
             .map(|server| LoadEntry {
                 server: server.key,
@@ -388,6 +394,7 @@
         incarnation: hub.incarnation,
         stopping: hub.is_stopping(),
         data_centre: hub.settings.borrow().data_centre.to_string(),
+        link: hub.settings.borrow().link,
         groups: group(hosts),
         scope: Scope::News.into(),
         ..Report::default()
@@ -438,6 +445,7 @@
         host.stopping = report.stopping;
         host.incarnation = Some(report.incarnation);
         host.data_centre = Some(report.data_centre.as_str().into());
+        host.link = report.link;
         if report.scope() == Scope::Whole {
             take_in_whole(&mut state, now, from, report);
         }
@@ -507,14 +515,14 @@
             };
             state.hosts.insert(address, named);
             if group.data_centre == settings.data_centre {
-                relays.heard(now, address);
+                relays.heard(now, address, 0);
             }
         }
     }
     if report.stopping {
         relays.gone(from);
     } else if report.data_centre == settings.data_centre {
-        relays.heard(now, from);
+        relays.heard(now, from, report.link);
     }
 }
 
@@ -528,6 +536,7 @@
         connected: report.connected,
         incarnation: Some(report.incarnation),
         data_centre: Some(report.data_centre.as_str().into()),
+        link: report.link,
         stopping: report.stopping,
     };
     state.hosts.insert(from, host);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,8 @@
 const DEFAULT_LOG_LINES: u32 = 150;
 /// Memory of the smallest hosts, in MB.
 const DEFAULT_MEMORY_MB: u32 = 88;
+/// Link of the smallest hosts, in Mbit/s.
+const DEFAULT_LINK_MBPS: f64 = 10.0;
 /// Bodies may take one part in so many of a host's memory. The process itself takes 5 to 13 MB, and connections as much
 /// again as the bodies on them.
 const BUFFERS_PART: usize = 4;
@@ -123,6 +125,7 @@
 #[serde(deny_unknown_fields)]
 struct LimitsDocument {
     memory_mb: Option<u32>,
+    link_mbps: Option<f64>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -152,6 +155,8 @@
     pub(crate) budget: budget::Settings,
     /// Time after which a key that was taken away must not be accepted, whether the store can be reached or not.
     pub(crate) revocation: Option<Duration>,
+    /// Mbit/s of the host's link.
+    pub(crate) link: u32,
     /// Memory for bodies that are read as a whole, in bytes.
     pub(crate) buffers: usize,
     pub(crate) log_level: LevelFilter,
@@ -238,6 +243,7 @@
             peer_port: document.peer_port,
             listen: document.listen,
             store: document.store.address,
+            link: link_mbps(document.limits.link_mbps.unwrap_or(DEFAULT_LINK_MBPS)),
             buffers: usize::try_from(memory_mb)
                 .unwrap_or(usize::MAX)
                 .saturating_mul(1 << 20)
@@ -253,6 +259,15 @@
     }
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and links are whole figures"
+)]
+fn link_mbps(stated: f64) -> u32 {
+    stated as u32
+}
+
 // Defaults are the figures of the users' sheets, for deployments that state none.
 
 fn default_grace() -> f64 {
