Part the sources from the streams, and the entries from the copies

Cause: read as a newcomer, two modules were called relay, one for streams and one for who follows the store, and copy.rs kept the numbered entries beside the questions for them. `dispatch::source` chooses whom a host follows, `gateway::entries` numbers changes. Ruled out: other behaviour; functions moved and were renamed, tests are the same.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,8 +15,8 @@
 pub mod prompt;
 pub mod proof;
 pub mod reach;
-pub mod relay;
 pub mod report;
+pub mod source;
 pub mod weights;
 
 use compact_str::CompactString;
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/source.rs
@@ -6,7 +6,7 @@
 
 use jaystand_dispatch::{
     prompt,
-    relay::{Relays, Source, at_store},
+    source::{Relays, Source, at_store},
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -4,17 +4,15 @@
 //! in the other host until there is one; with a number of another run it gets everything.
 
 use std::{
-    collections::VecDeque,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use hashbrown::HashMap;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
-use jaystand_dispatch::{relay::Source, weights::Age};
+use jaystand_dispatch::{source::Source, weights::Age};
 use jaystand_types::{Model, Moment, ServerName, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -40,65 +38,8 @@
 const RETRY: Duration = Duration::from_millis(30);
 /// Largest copy: a configuration of up to 1 MB, entries of some hundred servers.
 const MOST_BYTES: usize = 8 << 20;
-/// Removals that are remembered. A follower that lacks more gets everything.
-const REMEMBERED_REMOVALS: usize = 1_024;
 const PATH: &str = "/copy";
 
-/// What the store holds, as far as this host knows, with the number of the change that brought it.
-#[derive(Default)]
-pub(crate) struct Entries {
-    change: u64,
-    config: u64,
-    weights: u64,
-    servers: HashMap<ServerName, (u64, Rc<RawValue>)>,
-    removed: VecDeque<(u64, ServerName)>,
-    /// Removals up to this change are not remembered.
-    forgotten: u64,
-}
-
-impl Entries {
-    /// Takes a server's entry in.
-    pub(crate) fn put_server(&mut self, name: &ServerName, text: &RawValue) {
-        let known = self.servers.get(name);
-        if known.is_none_or(|(_, known)| known.get() != text.get()) {
-            self.change += 1;
-            let entry = (self.change, Rc::from(text.to_owned()));
-            self.servers.insert(name.clone(), entry);
-        }
-    }
-
-    /// Takes in that a server's entry is gone.
-    pub(crate) fn remove_server(&mut self, name: &str) {
-        if self.servers.remove(name).is_none() {
-            return;
-        }
-        self.change += 1;
-        self.removed.push_back((self.change, name.into()));
-        if self.removed.len() > REMEMBERED_REMOVALS
-            && let Some((change, _)) = self.removed.pop_front()
-        {
-            self.forgotten = change;
-        }
-    }
-
-    /// Another configuration is in force.
-    pub(crate) fn note_config(&mut self) {
-        self.change += 1;
-        self.config = self.change;
-    }
-
-    /// Newer weights are named.
-    pub(crate) fn note_weights(&mut self) {
-        self.change += 1;
-        self.weights = self.change;
-    }
-
-    /// Number of the newest change.
-    pub(crate) fn change(&self) -> u64 {
-        self.change
-    }
-}
-
 /// Changes of what the store holds, or all of it.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Copy {
@@ -210,15 +151,15 @@
     let state = hub.state.borrow();
     let loaded = state.config_feed.loaded && state.servers_feed.loaded;
     let lost = loaded && !state.is_connected_within(hub.now(), LOST_PATIENCE);
-    hub.is_stopping() || lost || (loaded && state.entries.change > after)
+    hub.is_stopping() || lost || (loaded && state.entries.change() > after)
 }
 
 fn changes_after(hub: &Hub, after: u64, arrived: Moment) -> Copy {
     let now = hub.now();
     let state = hub.state.borrow();
     let entries = &state.entries;
-    let complete = after == 0 || after < entries.forgotten;
-    let changed = |change: u64| complete || change > after;
+    let complete = entries.must_tell_all(after);
+    let after = if complete { 0 } else { after };
     let config = state.config_text.clone();
     let weights = state.versions.ages(now);
     let weights = weights.map(|(model, version, age)| Weights {
@@ -230,25 +171,19 @@
     let proven = state.proof.newest();
     Copy {
         run: hub.incarnation,
-        change: entries.change,
+        change: entries.change(),
         connected: state.is_connected_within(now, LOST_PATIENCE) && !hub.is_stopping(),
         complete,
-        config: config.filter(|_| changed(entries.config)),
+        config: config.filter(|_| entries.config_changed(after)),
         servers_revision: state.servers_feed.revision,
         servers_changed: state.servers_feed.changed,
-        servers: entries
-            .servers
-            .iter()
-            .filter(|(_, (change, _))| changed(*change))
-            .map(|(name, (_, text))| (name.clone(), Rc::clone(text)))
-            .collect(),
-        removed: entries
-            .removed
-            .iter()
-            .filter(|(change, _)| !complete && *change > after)
-            .map(|(_, name)| name.clone())
-            .collect(),
-        weights: if changed(entries.weights) {
+        servers: entries.servers_after(after).collect(),
+        removed: if complete {
+            Vec::new()
+        } else {
+            entries.removed_after(after).collect()
+        },
+        weights: if entries.weights_changed(after) {
             weights.collect()
         } else {
             Vec::new()
--- /dev/null
+++ b/crates/gateway/src/entries.rs
@@ -0,0 +1,104 @@
+//! What the store holds, as far as this host knows, with the number of the change that brought it.
+//!
+//! Numbers are of one run of the process. Hosts that follow this one ask for what came after the last number that they
+//! have.
+
+use std::{collections::VecDeque, rc::Rc};
+
+use hashbrown::HashMap;
+use jaystand_types::ServerName;
+use serde_json::value::RawValue;
+
+/// Removals that are remembered. A follower that lacks more gets everything.
+const REMEMBERED_REMOVALS: usize = 1_024;
+
+/// The numbered changes.
+#[derive(Default)]
+pub(crate) struct Entries {
+    change: u64,
+    config: u64,
+    weights: u64,
+    servers: HashMap<ServerName, (u64, Rc<RawValue>)>,
+    removed: VecDeque<(u64, ServerName)>,
+    /// Removals up to this change are not remembered.
+    forgotten: u64,
+}
+
+impl Entries {
+    /// Takes a server's entry in.
+    pub(crate) fn put_server(&mut self, name: &ServerName, text: &RawValue) {
+        let known = self.servers.get(name);
+        if known.is_none_or(|(_, known)| known.get() != text.get()) {
+            self.change += 1;
+            let entry = (self.change, Rc::from(text.to_owned()));
+            self.servers.insert(name.clone(), entry);
+        }
+    }
+
+    /// Takes in that a server's entry is gone.
+    pub(crate) fn remove_server(&mut self, name: &str) {
+        if self.servers.remove(name).is_none() {
+            return;
+        }
+        self.change += 1;
+        self.removed.push_back((self.change, name.into()));
+        if self.removed.len() > REMEMBERED_REMOVALS
+            && let Some((change, _)) = self.removed.pop_front()
+        {
+            self.forgotten = change;
+        }
+    }
+
+    /// Another configuration is in force.
+    pub(crate) fn note_config(&mut self) {
+        self.change += 1;
+        self.config = self.change;
+    }
+
+    /// Newer weights are named.
+    pub(crate) fn note_weights(&mut self) {
+        self.change += 1;
+        self.weights = self.change;
+    }
+
+    /// Number of the newest change.
+    pub(crate) fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Whether who knows the changes up to a number must be told everything: removals after it are forgotten.
+    pub(crate) fn must_tell_all(&self, after: u64) -> bool {
+        after == 0 || after < self.forgotten
+    }
+
+    /// Whether the configuration changed after a number.
+    pub(crate) fn config_changed(&self, after: u64) -> bool {
+        self.config > after
+    }
+
+    /// Whether weights were named after a number.
+    pub(crate) fn weights_changed(&self, after: u64) -> bool {
+        self.weights > after
+    }
+
+    /// Servers whose entries changed after a number.
+    pub(crate) fn servers_after(
+        &self,
+        after: u64,
+    ) -> impl Iterator<Item = (ServerName, Rc<RawValue>)> {
+        let changed = self
+            .servers
+            .iter()
+            .filter(move |(_, (change, _))| *change > after);
+        changed.map(|(name, (_, text))| (name.clone(), Rc::clone(text)))
+    }
+
+    /// Servers that were removed after a number.
+    pub(crate) fn removed_after(&self, after: u64) -> impl Iterator<Item = ServerName> {
+        let removed = self
+            .removed
+            .iter()
+            .filter(move |(change, _)| *change > after);
+        removed.map(|(_, name)| name.clone())
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,7 +6,7 @@
     entry,
     store::{Change, Object},
 };
-use jaystand_dispatch::relay::Source;
+use jaystand_dispatch::source::Source;
 use jaystand_types::{Moment, Version};
 use rand::RngExt as _;
 use tokio::time::sleep;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -24,7 +24,7 @@
     prompt,
     proof::Proof,
     reach::Reach,
-    relay::{self, Relays, Source},
+    source::{self, Relays, Source},
     weights::{Age, Versions},
 };
 use jaystand_kernel::timer::Timer;
@@ -35,7 +35,7 @@
 use crate::{
     buffer::Buffers,
     clock,
-    copy::Entries,
+    entries::Entries,
     metrics::Metrics,
     pool::{Lent, Pool},
     settings::Settings,
@@ -460,7 +460,7 @@
                     .push(host.link);
             }
         }
-        relay::at_store(links.into_values())
+        source::at_store(links.into_values())
     }
 
     /// Whether the configuration is known to be the newest, as far as this host can tell.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod clock;
 mod copy;
+mod entries;
 mod events;
 mod feed;
 mod front;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,8 +9,8 @@
 use jaystand_dispatch::{
     lease::Record,
     load::Load,
-    relay::Source,
     report::{self, Schedule},
+    source::Source,
     weights::Age,
 };
 use jaystand_types::{DataCentre, Model, Moment};
