--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -35,6 +35,6 @@
             kinds.insert(name.split('(').next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(kinds.len(), 13, "{kinds:?}");
+    assert_eq!(kinds.len(), 14, "{kinds:?}");
     assert!(overlaps > 100, "{overlaps}");
 }
