Read whole answers of other programs in one place

Cause: read once more, the change wrote a fourth copy of "send, read the body up to a bound, tell the status" (store, news, orders and copies). `Link::exchange` serves all four. Ruled out: other behaviour; an order's status still counts when its body breaks off.

--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use jaystand_dispatch::{source::Source, weights::Age};
 use jaystand_types::{Model, Moment, ServerName, Version};
 use serde::{Deserialize, Serialize};
@@ -318,11 +318,11 @@
         if let Ok(host) = HeaderValue::try_from(address.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
-        let response = link.send(request).await.map_err(std::io::Error::other)?;
-        let body = Limited::new(response.into_body(), MOST_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(std::io::Error::other)?.to_bytes();
+        let (_, body) = link
+            .exchange(request, MOST_BYTES)
+            .await
+            .map_err(std::io::Error::other)?;
+        let body = body.ok_or_else(|| std::io::Error::other("the copy broke off"))?;
         let copy = serde_json::from_slice(&body).map_err(std::io::Error::other)?;
         if !link.settle().await {
             return Err(std::io::Error::other("the connection cannot be used again"));
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,9 +3,9 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -92,6 +92,19 @@
         }
     }
 
+    /// Sends a request and reads its answer as a whole, up to so many bytes. The body is `None` when it is longer or
+    /// breaks off.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most: usize,
+    ) -> Result<(StatusCode, Option<Bytes>), Fault> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), most).collect().await;
+        Ok((status, body.ok().map(Collected::to_bytes)))
+    }
+
     /// Whether a request can be sent now.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
 use http::{Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use jaystand_adapter::engine::{self, News};
 use jaystand_dispatch::{ServerKey, prompt};
 use jaystand_types::ServerName;
@@ -128,18 +128,10 @@
     *headers = engine::headers(name, &address.to_string()).map_err(|_| Fault::NotSent)?;
     let (wait, value) = engine::news_wait(WAIT);
     headers.insert(wait, value);
-    let exchange = async {
-        let response = open.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MOST_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|_| Fault::Silent)?.to_bytes();
-        Ok::<_, Fault>((status, body))
-    };
-    let (status, body) = timeout(ANSWER, exchange)
+    let (status, body) = timeout(ANSWER, open.exchange(request, MOST_BYTES))
         .await
         .map_err(|_| Fault::Silent)??;
+    let body = body.ok_or(Fault::Silent)?;
     if open.settle().await {
         *link = Some(open);
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use jaystand_adapter::engine::{self, Order, Reply, Report};
 use jaystand_dispatch::{
     ServerKey,
@@ -456,15 +456,7 @@
     *request.method_mut() = method;
     *request.uri_mut() = http::Uri::from_static(path);
     *request.headers_mut() = headers;
-    let exchange = async {
-        let response = lent.link.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MOST_BYTES)
-            .collect()
-            .await;
-        Ok::<_, Fault>((status, body.ok().map(http_body_util::Collected::to_bytes)))
-    };
-    match timeout(ANSWER, exchange).await {
+    match timeout(ANSWER, lent.link.exchange(request, MOST_BYTES)).await {
         Ok(Ok((status, Some(body)))) => {
             hub.give_back(lent, None).await;
             Ok((status, body))
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use jaystand_adapter::store::{self, Call, Changes, Object, Page, Verdict};
 use jaystand_dispatch::lease::{Record, Written};
 use jaystand_types::Version;
@@ -171,19 +171,12 @@
     async fn call(&self, call: &Call, within: Duration) -> Result<(StatusCode, Bytes), Error> {
         let mut link = self.open().await?;
         let exchange = async {
-            let response = link
-                .send(self.request(call)?)
-                .await
-                .map_err(|fault| match fault {
-                    Fault::NotSent => Error::Refused,
-                    Fault::Broken(_) | Fault::Silent => Error::Unknown,
-                })?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MOST_BYTES)
-                .collect()
-                .await;
-            let body = body.map_err(|_| Error::Unknown)?.to_bytes();
-            Ok((status, body))
+            let answer = link.exchange(self.request(call)?, MOST_BYTES).await;
+            let (status, body) = answer.map_err(|fault| match fault {
+                Fault::NotSent => Error::Refused,
+                Fault::Broken(_) | Fault::Silent => Error::Unknown,
+            })?;
+            Ok((status, body.ok_or(Error::Unknown)?))
         };
         let result = timeout(within, exchange).await;
         match result {
