Keep the number of changes, the deadline and the followed host once

Cause: the change kept states that follow from others. The number of the newest change stood in the entries and in a channel beside them, which seven places had to bring in line; the entries tell their changes themselves now. A request had a deadline by two clocks, of which the one that counts suspensions is never later. The question for the next changes was reset in three places; it goes with the connection that it belongs to. A whole report set five fields of a host a second time. Comments over the line's length are wrapped. Ruled out: other behaviour; waiters are woken only by changes now, not by each entry that is as before.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -17,8 +17,9 @@
 /// Regular reports go out this often; with six hosts this is about 5 KB/s a host. At half the rate callers of
 /// tanekaha-tanks-grown scale-1 were served 1.6 in 100 less often.
 pub const PERIOD: Duration = Duration::from_millis(200);
-/// Hosts that got no whole report and get a brief one each time, others each time. With reports to all, which grow with the square of
-/// the fleet, a host used 11.5 % of its processor and sent 98 KB/s in the users' sweep to 300 hosts.
+/// Hosts that get a brief report each time, others each time, beside those that get a whole one. With reports to all,
+/// which grow with the square of the fleet, a host used 11.5 % of its processor and sent 98 KB/s in the users' sweep to
+/// 300 hosts.
 pub const MOST_BRIEF: usize = 64;
 
 /// When reports go out.
--- a/crates/dispatch/src/source.rs
+++ b/crates/dispatch/src/source.rs
@@ -3,9 +3,9 @@
 //! The load that this answers: on tanekaha-tanks-large 295 hosts followed the store each for itself. Their 19,373
 //! calls in a day took 0.36 of its worth. Calls should grow with the data centres instead.
 //!
-//! The relays of a data centre are its hosts with the largest links, and among equal ones the first of a rendezvous order,
-//! so that hosts agree on them without a message. Views differ for a while when hosts come and go: a host that is asked for changes follows the store for
-//! as long as it is asked, whether or not it would choose itself.
+//! The relays of a data centre are its hosts with the largest links, and among equal ones the first of a rendezvous
+//! order, so that hosts agree on them without a message. Views differ for a while when hosts come and go: a host that is
+//! asked for changes follows the store for as long as it is asked, whether or not it would choose itself.
 
 use std::{hash::Hash, time::Duration};
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -67,9 +67,8 @@
     salt: Salt,
     prompt: Option<Prompt>,
     arrived: Moment,
-    pub(crate) deadline: Moment,
-    /// The deadline by the clock that counts suspensions.
-    expires: Moment,
+    /// By the clock that counts suspensions: the caller's goes on meanwhile.
+    deadline: Moment,
     tried: SmallVec<[ServerKey; 4]>,
     server: CompactString,
     sends: u32,
@@ -162,8 +161,7 @@
             id,
             salt: Salt::new(admitted.team.as_deref()),
             prompt: request::prompt(&parts.headers),
-            deadline: arrived + admitted.patience,
-            expires: clock::since_boot() + admitted.patience,
+            deadline: clock::since_boot() + admitted.patience,
             last_event: admitted.last_event,
             service: admitted.service,
             team: admitted.team,
@@ -192,10 +190,9 @@
         &self.server
     }
 
-    /// Time until the deadline. The caller's clock goes on while this host is suspended.
+    /// Time until the deadline.
     pub(crate) fn left(&self) -> Duration {
-        let left = self.deadline.saturating_sub(self.hub.now());
-        left.min(self.expires.saturating_sub(clock::since_boot()))
+        self.deadline.saturating_sub(clock::since_boot())
     }
 
     async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
@@ -513,7 +510,7 @@
             return Err(Stop { reason });
         };
         self.expected = Some(choice.expected);
-        let left = self.deadline.saturating_sub(now);
+        let left = self.left();
         if self.runs == 0 && admission::too_late(choice.expected, left) {
             return Err(Stop {
                 reason: Reason::Overload,
@@ -705,7 +702,7 @@
             pieces = self.pieces,
             prompt = self.prompt.as_ref().map_or(0, |prompt| prompt.input),
             total_ms = whole_ms(now.saturating_sub(self.arrived)),
-            left_ms = whole_ms(self.deadline.saturating_sub(now)),
+            left_ms = whole_ms(self.left()),
             config;
             "request ended");
         let requests = &self.hub.metrics.requests;
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -137,7 +137,7 @@
     };
     if question.waits {
         hub.asked_for_changes();
-        let mut changed = hub.changed.subscribe();
+        let mut changed = hub.state.borrow().entries.subscribe();
         let due = async { while !is_due(hub, after) && changed.changed().await.is_ok() {} };
         if timeout(WAIT, due).await.is_err() {
             log::debug!(after; "no change to pass on");
@@ -208,38 +208,40 @@
 /// Follows another host whenever this one does not follow the store, for as long as the process runs.
 pub(crate) async fn follow(hub: Rc<Hub>) {
     let mut source = hub.source.subscribe();
-    let mut followed: Option<(IpAddr, Link)> = None;
-    let mut question = Question::default();
+    // The host that answered last, with the connection to it and the last change that it told.
+    let mut followed: Option<(IpAddr, Link, Question)> = None;
     loop {
         let now = *source.borrow_and_update();
         let Source::Host(host) = now else {
             followed = None;
-            question = Question::default();
             if source.changed().await.is_err() {
                 return;
             }
             continue;
         };
-        let link = match followed.take() {
-            Some((former, link)) if former == host && link.is_ready() => Some(link),
-            _ => {
-                question = Question::default();
-                None
-            }
+        let again = followed
+            .take()
+            .filter(|(former, link, _)| *former == host && link.is_ready());
+        let (link, question) = match again {
+            Some((_, link, question)) => (Some(link), question),
+            None => (None, Question::default()),
+        };
+        let question = Question {
+            waits: true,
+            ..question
         };
-        question.waits = true;
         // A proof counts from here: the answer may wait on the way, and this host may be suspended meanwhile.
         let asked = clock::since_boot();
         match ask(&hub, host, link, question).await {
             Ok((link, copy)) if copy.connected && !is_behind(&hub, &copy) => {
-                question = Question {
+                adopt(&hub, &copy, asked, "relay");
+                note_in_touch(&hub, &copy);
+                let next = Question {
                     run: copy.run,
                     after: copy.change,
-                    waits: true,
+                    ..question
                 };
-                adopt(&hub, &copy, asked, "relay");
-                note_in_touch(&hub, &copy);
-                followed = Some((host, link));
+                followed = Some((host, link, next));
             }
             Ok((_, copy)) => {
                 log::info!(peer:% = host, connected = copy.connected;
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -8,6 +8,7 @@
 use hashbrown::HashMap;
 use jaystand_types::ServerName;
 use serde_json::value::RawValue;
+use tokio::sync::watch;
 
 /// Removals that are remembered. A follower that lacks more gets everything.
 const REMEMBERED_REMOVALS: usize = 1_024;
@@ -15,7 +16,8 @@
 /// The numbered changes.
 #[derive(Default)]
 pub(crate) struct Entries {
-    change: u64,
+    /// Number of the newest change. Whoever passes changes on waits for it.
+    change: watch::Sender<u64>,
     config: u64,
     weights: u64,
     servers: HashMap<ServerName, (u64, Rc<RawValue>)>,
@@ -29,8 +31,7 @@
     pub(crate) fn put_server(&mut self, name: &ServerName, text: &RawValue) {
         let known = self.servers.get(name);
         if known.is_none_or(|(_, known)| known.get() != text.get()) {
-            self.change += 1;
-            let entry = (self.change, Rc::from(text.to_owned()));
+            let entry = (self.advance(), Rc::from(text.to_owned()));
             self.servers.insert(name.clone(), entry);
         }
     }
@@ -40,8 +41,8 @@
         if self.servers.remove(name).is_none() {
             return;
         }
-        self.change += 1;
-        self.removed.push_back((self.change, name.into()));
+        let change = self.advance();
+        self.removed.push_back((change, name.into()));
         if self.removed.len() > REMEMBERED_REMOVALS
             && let Some((change, _)) = self.removed.pop_front()
         {
@@ -51,19 +52,32 @@
 
     /// Another configuration is in force.
     pub(crate) fn note_config(&mut self) {
-        self.change += 1;
-        self.config = self.change;
+        self.config = self.advance();
     }
 
     /// Newer weights are named.
     pub(crate) fn note_weights(&mut self) {
-        self.change += 1;
-        self.weights = self.change;
+        self.weights = self.advance();
     }
 
     /// Number of the newest change.
     pub(crate) fn change(&self) -> u64 {
-        self.change
+        *self.change.borrow()
+    }
+
+    /// Tells of each change, and when something else should be looked at by whoever waits for one.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.change.subscribe()
+    }
+
+    /// Wakes whoever waits for a change without one.
+    pub(crate) fn wake(&self) {
+        self.change.send_modify(|_| {});
+    }
+
+    fn advance(&self) -> u64 {
+        self.change.send_modify(|change| *change += 1);
+        self.change()
     }
 
     /// Whether who knows the changes up to a number must be told everything: removals after it are forgotten.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -65,8 +65,6 @@
     pub(crate) relays: RefCell<Relays<IpAddr>>,
     /// Where this host learns what the store holds.
     pub(crate) source: watch::Sender<Source<IpAddr>>,
-    /// Number of the newest change that this host has taken in; also sent when the store is lost.
-    pub(crate) changed: watch::Sender<u64>,
     /// Makes the feed of servers list again.
     pub(crate) list_servers: Notify,
     /// Wakes the part that reports to peers.
@@ -168,6 +166,12 @@
     pub(crate) fn connected(&self) -> bool {
         self.loaded && self.lost_since.is_none()
     }
+
+    /// Whether the store answers, or did until less than `patience` ago.
+    pub(crate) fn connected_within(&self, now: Moment, patience: Duration) -> bool {
+        let lost = self.lost_since.map(|since| now.saturating_sub(since));
+        self.loaded && lost.is_none_or(|lost| lost < patience)
+    }
 }
 
 impl Hub {
@@ -198,7 +202,6 @@
             buffers: Buffers::new(settings.buffers),
             relays: RefCell::new(relays),
             source: watch::Sender::new(Source::Unknown),
-            changed: watch::Sender::new(0),
             settings: RefCell::new(settings),
             incarnation,
             timer,
@@ -262,7 +265,6 @@
         state.config = Some(Arc::new(config));
         state.config_text = Some(Rc::from(text.to_owned()));
         state.entries.note_config();
-        self.changed.send_replace(state.entries.change());
         Some(version)
     }
 
@@ -278,7 +280,6 @@
         };
         let mut state = self.state.borrow_mut();
         state.entries.put_server(name, text);
-        self.changed.send_replace(state.entries.change());
         let leaving = entry.leaving;
         let address = entry.address;
         let change = state.directory.upsert(entry);
@@ -299,7 +300,6 @@
         let change = state.directory.remove(now, name);
         if change == Change::Removed {
             state.entries.remove_server(name);
-            self.changed.send_replace(state.entries.change());
         }
         if change != Change::Nothing {
             log::info!(server = name, change = change_name(change); "server's entry is gone");
@@ -342,7 +342,6 @@
         if state.versions.name(now, model, version, age) {
             log::info!(model = model.as_str(), version, source; "weights named");
             state.entries.note_weights();
-            self.changed.send_replace(state.entries.change());
             self.weights_changed.notify_one();
         }
     }
@@ -415,7 +414,7 @@
             (None, false) => {
                 feed.lost_since = Some(now);
                 log::warn!(feed = kind.as_str(); "the store does not answer; going on with what is known");
-                self.changed.send_replace(state.entries.change());
+                state.entries.wake();
             }
             _ => {}
         }
@@ -524,11 +523,10 @@
 
     /// Whether this host is in touch with the store, or was until less than `patience` ago.
     pub(crate) fn is_connected_within(&self, now: Moment, patience: Duration) -> bool {
-        let in_touch = |feed: &Feed| {
-            let lost = feed.lost_since.map(|since| now.saturating_sub(since));
-            feed.loaded && lost.is_none_or(|lost| lost < patience)
-        };
-        in_touch(&self.config_feed) && in_touch(&self.servers_feed)
+        let feeds = [&self.config_feed, &self.servers_feed];
+        feeds
+            .into_iter()
+            .all(|feed| feed.connected_within(now, patience))
     }
 
     pub(crate) fn feed(&mut self, kind: Kind) -> &mut Feed {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -440,14 +440,19 @@
             hub.lease_doubted.set(true);
             hub.weights_changed.notify_one();
         }
+        let data_centre = DataCentre::from(report.data_centre.as_str());
         let host = state.hosts.entry(from).or_default();
         host.seen = now;
         host.stopping = report.stopping;
         host.incarnation = Some(report.incarnation);
-        host.data_centre = Some(report.data_centre.as_str().into());
+        host.data_centre = Some(data_centre.clone());
         host.link = report.link;
         if report.scope() == Scope::Whole {
-            take_in_whole(&mut state, now, from, report);
+            host.config_version = report.config_version;
+            host.servers_revision = report.servers_revision;
+            host.servers_changed = report.servers_changed;
+            host.connected = report.connected;
+            state.reach.heard(now, &data_centre);
         }
         if report.abandoned_fence.is_some() && hub.lease_abandoned.get() < report.abandoned_fence {
             hub.lease_abandoned.set(report.abandoned_fence);
@@ -526,25 +531,6 @@
     }
 }
 
-/// Takes in what only whole reports state.
-fn take_in_whole(state: &mut State, now: Moment, from: IpAddr, report: &Report) {
-    let host = Host {
-        seen: now,
-        config_version: report.config_version,
-        servers_revision: report.servers_revision,
-        servers_changed: report.servers_changed,
-        connected: report.connected,
-        incarnation: Some(report.incarnation),
-        data_centre: Some(report.data_centre.as_str().into()),
-        link: report.link,
-        stopping: report.stopping,
-    };
-    state.hosts.insert(from, host);
-    state
-        .reach
-        .heard(now, &DataCentre::from(report.data_centre.as_str()));
-}
-
 /// Fetches copies from peers whenever they know more than this host.
 pub(crate) async fn fetch_copies(hub: Rc<Hub>) {
     let mut ticks = hub.timer.every(COPY_PERIOD);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -157,7 +157,7 @@
     hub.stopped_at.set(Some(hub.now()));
     hub.stopping.send_replace(true);
     // Hosts that follow this one look for another.
-    hub.changed.send_modify(|_| {});
+    hub.state.borrow().entries.wake();
     hub.report_now.notify_one();
     // Until the platform has noticed, it sends new connections, which are served.
     let least = front::CLOSE_IDLE_AFTER + STOP_PERIOD;
@@ -227,7 +227,6 @@
             let gone = state.directory.expire(now);
             for name in &gone {
                 state.entries.remove_server(name);
-                hub.changed.send_replace(state.entries.change());
             }
             gone
         };
