Log and count what hosts send to servers that limit requests

Nothing that hosts log tells that a server names a limit, and calls that are no caller's requests (questions for cache events, reports, orders) are not counted by server, so that the hypotheses of docs/incidents/28-request-limit.md cannot be told apart. Change: the header Server-Limit is decoded in platform/ and kept by incarnation in dispatch::notice; named, changed, ended and invalid limits are logged; jaystand_limited_calls_total counts calls to limited servers by server and purpose. Nothing decides on it yet.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -12,6 +12,7 @@
 use crate::{
     ServerKey, ServiceName,
     health::Health,
+    limit::Rate,
     load::Load,
     notice::{Archive, Availability, Effect, Notice},
     pressure::Pressure,
@@ -144,6 +145,12 @@
         self.availability.paused_until(now)
     }
 
+    /// Returns the limit that the server names for requests of all hosts together.
+    #[must_use]
+    pub fn limit(&self) -> Option<Rate> {
+        self.availability.limit()
+    }
+
     /// Returns whether a weights update is under way, during which the server refuses requests.
     #[must_use]
     pub fn updating(&self, now: Moment) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod holdings;
 pub mod lease;
+pub mod limit;
 pub mod load;
 pub mod notice;
 pub mod placement;
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -9,7 +9,10 @@
 use hashbrown::HashMap;
 use jaystand_types::Moment;
 
-use crate::ServerKey;
+use crate::{
+    ServerKey,
+    limit::{Limit, Rate},
+};
 
 /// Longer pauses are cut to this length. No sheet has a pause of a minute, and a wrong value must not keep a server
 /// idle for the rest of the day.
@@ -26,6 +29,8 @@
         pub leaving: bool,
         /// The pause that the server asks this host for.
         pub pause: Pause,
+        /// The limit that the server names for requests of all hosts together.
+        pub limit: Limit,
     }
 }
 
@@ -53,6 +58,20 @@
         pub paused: Option<Duration>,
         /// Whether the requested pause is unreadable or too long, for the first time at this incarnation.
         pub invalid: bool,
+        /// How the limit changed.
+        pub limit: Option<LimitChange>,
+    }
+}
+
+jaystand_types::common! { value
+    /// A change of a server's limit.
+    pub enum LimitChange {
+        /// The server names another limit than before.
+        Named(Rate),
+        /// The server names no limit any more.
+        Ended,
+        /// The server names an invalid limit, for the first time at this incarnation. It changes nothing.
+        Invalid,
     }
 }
 
@@ -63,6 +82,9 @@
     paused_until: Option<Moment>,
     /// Whether it has requested an invalid pause.
     requested_invalid: bool,
+    limit: Option<Rate>,
+    /// Whether it has named an invalid limit.
+    named_invalid: bool,
 }
 
 impl Availability {
@@ -76,6 +98,11 @@
         self.paused_until.filter(|until| now < *until)
     }
 
+    /// Returns the limit that the server names for requests of all hosts together.
+    pub(crate) fn limit(&self) -> Option<Rate> {
+        self.limit
+    }
+
     /// Records that the server leaves. Returns whether that was not known.
     pub(crate) fn mark_leaving(&mut self) -> bool {
         !std::mem::replace(&mut self.leaving, true)
@@ -93,6 +120,21 @@
             leaves,
             paused,
             invalid: invalid && !std::mem::replace(&mut self.requested_invalid, true),
+            limit: self.observe_limit(notice.limit),
+        }
+    }
+
+    /// Records the limit in an answer. Returns what it changed.
+    fn observe_limit(&mut self, limit: Limit) -> Option<LimitChange> {
+        match limit {
+            Limit::Unstated => None,
+            Limit::None => self.limit.take().map(|_| LimitChange::Ended),
+            Limit::PerSecond(rate) => {
+                (self.limit.replace(rate) != Some(rate)).then_some(LimitChange::Named(rate))
+            }
+            Limit::Invalid => {
+                (!std::mem::replace(&mut self.named_invalid, true)).then_some(LimitChange::Invalid)
+            }
         }
     }
 
@@ -107,7 +149,7 @@
 
     /// Returns whether there is anything worth archiving.
     fn is_restricted(&self) -> bool {
-        self.leaving || self.paused_until.is_some()
+        self.leaving || self.paused_until.is_some() || self.limit.is_some()
     }
 }
 
--- a/crates/dispatch/tests/notice.rs
+++ b/crates/dispatch/tests/notice.rs
@@ -14,14 +14,14 @@
 fn leaving() -> Notice {
     Notice {
         leaving: true,
-        pause: Pause::None,
+        ..Notice::default()
     }
 }
 
 fn pause(length: u64) -> Notice {
     Notice {
-        leaving: false,
         pause: Pause::For(ms(length)),
+        ..Notice::default()
     }
 }
 
@@ -113,8 +113,8 @@
 fn invalid_pauses_are_bounded_and_reported_once() {
     let (mut directory, key) = directory_with_server();
     let invalid = Notice {
-        leaving: false,
         pause: Pause::For(std::time::Duration::MAX),
+        ..Notice::default()
     };
     assert!(directory.observe_notice(ms(5), key, invalid).invalid);
     assert!(!directory.observe_notice(ms(6), key, invalid).invalid);
@@ -122,8 +122,8 @@
     assert_eq!(until, Some(ms(6) + MAX_PAUSE));
     let (mut directory, key) = directory_with_server();
     let unreadable = Notice {
-        leaving: false,
         pause: Pause::Unreadable,
+        ..Notice::default()
     };
     assert!(directory.observe_notice(ms(5), key, unreadable).invalid);
     assert!(!directory.observe_notice(ms(6), key, unreadable).invalid);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,6 +16,7 @@
     admission::{self, Reason},
     config::{Delivery, Route, Team},
     health::Outcome,
+    limit,
     placement::{Choice, Query, View, cache_keys},
     prompt::{self, Prompt, Salt},
 };
@@ -354,6 +355,7 @@
         connections
             .with_label_values(&[self.service.as_str(), origin])
             .inc();
+        self.hub.record_call(server, self.purpose());
         self.sends += 1;
         let sent = self.hub.now();
         self.record_holdings(sent, &choice);
@@ -388,8 +390,13 @@
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &self.id);
         // Also done for a late answer to an earlier request: its head describes the server as well.
-        self.hub
-            .observe_response_head(server, &self.server_name, parts.status, &parts.headers);
+        self.hub.observe_response_head(
+            server,
+            &self.server_name,
+            parts.status,
+            &parts.headers,
+            head.identity,
+        );
         match self.check_answer(server, &head, pooled.reused) {
             Verdict::Forward => {}
             Verdict::Discard => return None,
@@ -599,6 +606,17 @@
         team.unwrap_or(self.route.rank)
     }
 
+    /// Returns the purpose of the next send.
+    fn purpose(&self) -> limit::Call {
+        if self.sends == 0 {
+            limit::Call::Request
+        } else if self.chunks > 0 {
+            limit::Call::Resume
+        } else {
+            limit::Call::Retry
+        }
+    }
+
     /// Returns whether the request may run once more, at another server.
     pub(crate) fn may_repeat(&self) -> bool {
         self.route.repeatable() && self.possible_runs < self.route.attempts
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,7 +12,10 @@
 use compact_str::CompactString;
 use hashbrown::{HashMap, HashSet};
 use http::{HeaderMap, StatusCode};
-use jaystand_adapter::{entry, response};
+use jaystand_adapter::{
+    entry,
+    response::{self, Identity},
+};
 use jaystand_dispatch::{
     ServerKey,
     budget::Budget,
@@ -20,8 +23,9 @@
     directory::{Change, Directory},
     holdings::Holdings,
     lease::Record,
+    limit::{Call, Limit},
     load::Peers,
-    notice::Notice,
+    notice::LimitChange,
     placement::Store as PartStore,
     prompt,
     proof::Proof,
@@ -314,6 +318,7 @@
         let change = state.directory.remove(now, name);
         if change == Change::Removed {
             state.entries.remove_server(name);
+            self.metrics.forget_server(name);
         }
         if change != Change::Nothing {
             log::info!(server = name, change = change_name(change); "server's entry is gone");
@@ -384,18 +389,23 @@
         }
     }
 
-    /// Applies what the head of an answer says of its server: that it leaves, or that it asks for a pause.
+    /// Applies what the head of an answer says of its server: that it leaves, asks for a pause, or limits requests.
     pub(crate) fn observe_response_head(
         &self,
         key: ServerKey,
         name: &str,
         status: StatusCode,
         headers: &HeaderMap,
+        identity: Identity,
     ) {
-        let notice = response::notice(status, headers);
-        if notice == Notice::default() || response::is_from_other_server(headers, name) {
+        if response::is_from_other_server(headers, name) {
             return;
         }
+        let mut notice = response::notice(status, headers);
+        if identity == Identity::Other {
+            // A late answer to an earlier request may name a limit that has changed since.
+            notice.limit = Limit::Unstated;
+        }
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let learned = state.directory.observe_notice(now, key, notice);
@@ -407,6 +417,19 @@
             log::info!(server = name, pause_ms = whole_ms(pause);
                 "the server wants no requests for a while");
         }
+        match learned.limit {
+            Some(LimitChange::Named(rate)) => {
+                log::info!(server = name, per_s = rate.per_second(), source = "answer"; "the server limits requests");
+            }
+            Some(LimitChange::Ended) => {
+                log::info!(server = name, source = "answer"; "the server limits requests no more");
+            }
+            Some(LimitChange::Invalid) => {
+                log::warn!(server = name, named:? = response::limit_value(headers);
+                    "the server names a limit that is no positive number; ignored and stated once");
+            }
+            None => {}
+        }
         if learned.leaves {
             log::info!(server = name, source = "answer"; "the server leaves");
             state.departures.push_back((now, key));
@@ -415,6 +438,16 @@
         }
     }
 
+    /// Counts a call to a server, if the server limits requests.
+    pub(crate) fn record_call(&self, key: ServerKey, call: Call) {
+        let state = self.state.borrow();
+        let limited = state.directory.get(key).filter(|s| s.limit().is_some());
+        if let Some(server) = limited {
+            let labels = [server.entry.name.as_str(), call.as_str()];
+            self.metrics.limited_calls.with_label_values(&labels).inc();
+        }
+    }
+
     /// Returns the rest of the pause that a server asked this host for, if one is in force.
     pub(crate) fn remaining_pause(&self, key: ServerKey) -> Option<Duration> {
         let now = self.now();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the process in the text format of Prometheus.
 
+use jaystand_dispatch::limit::Call;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -23,6 +24,8 @@
     pub(crate) store_calls: IntCounterVec,
     /// Orders to engines by result.
     pub(crate) orders: IntCounterVec,
+    /// Calls to servers that limit requests, by server and purpose.
+    pub(crate) limited_calls: IntCounterVec,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
     /// Panics of the process's tasks, which started again.
@@ -90,6 +93,11 @@
                 "Weight orders to engines.",
                 &["result"],
             )?,
+            limited_calls: counters(
+                "jaystand_limited_calls_total",
+                "Calls to servers while they limit requests.",
+                &["server", "purpose"],
+            )?,
             config_version: gauge("jaystand_config_version", "Configuration in force.")?,
             servers: gauge("jaystand_servers", "Known backend servers.")?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
@@ -100,6 +108,16 @@
         })
     }
 
+    /// Removes the metrics of a server that is gone.
+    pub(crate) fn forget_server(&self, name: &str) {
+        for call in Call::ALL {
+            // Most servers never limit requests and have no such metric.
+            let _ = self
+                .limited_calls
+                .remove_label_values(&[name, call.as_str()]);
+        }
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,8 +6,11 @@
 use hashbrown::{HashMap, HashSet};
 use http::{Request, Uri};
 use http_body_util::Full;
-use jaystand_adapter::engine::{self, CacheEvents};
-use jaystand_dispatch::{ServerKey, prompt};
+use jaystand_adapter::{
+    engine::{self, CacheEvents},
+    response::Identity,
+};
+use jaystand_dispatch::{ServerKey, limit::Call, prompt};
 use jaystand_types::ServerName;
 use tokio::{
     task::JoinHandle,
@@ -137,11 +140,12 @@
     *headers = engine::headers(name, &address.to_string()).map_err(|_| link::Error::NotSent)?;
     let (wait, value) = engine::wait_header(WAIT);
     headers.insert(wait, value);
+    hub.record_call(server, Call::CacheEvents);
     let answer = timeout(ANSWER_TIMEOUT, open.exchange(request, MAX_ANSWER_BYTES))
         .await
         .map_err(|_| link::Error::Timeout)??;
     let status = answer.status();
-    hub.observe_response_head(server, name, status, answer.headers());
+    hub.observe_response_head(server, name, status, answer.headers(), Identity::Missing);
     let body = answer.into_body().ok_or(link::Error::Timeout)?;
     if open.wait_reusable().await {
         *connection = Some(open);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -5,12 +5,16 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
-use jaystand_adapter::engine::{self, Order, Reply, Report};
+use jaystand_adapter::{
+    engine::{self, Order, Reply, Report},
+    response::Identity,
+};
 use jaystand_dispatch::{
     ServerKey,
     directory::Server,
     health::Outcome,
     lease::{Lease, Step, Written},
+    limit::Call,
     weights::{self, Update},
 };
 use tokio::time::{Instant, sleep, timeout};
@@ -452,11 +456,12 @@
         log::error!(server = name; "cannot build a call: {error}");
         HeaderMap::new()
     });
-    let path = if method == Method::GET {
-        engine::REPORT_PATH
+    let (path, purpose) = if method == Method::GET {
+        (engine::REPORT_PATH, Call::Report)
     } else {
-        engine::ORDER_PATH
+        (engine::ORDER_PATH, Call::Order)
     };
+    hub.record_call(server, purpose);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = http::Uri::from_static(path);
@@ -469,7 +474,7 @@
     {
         Ok(Ok(answer)) => {
             let status = answer.status();
-            hub.observe_response_head(server, name, status, answer.headers());
+            hub.observe_response_head(server, name, status, answer.headers(), Identity::Missing);
             let body = answer.into_body();
             if body.is_some() {
                 hub.return_connection(pooled, None).await;
