Divide a server's limit among a few hosts, for all calls

What callers saw: nothing yet; a server in need got up to three times the requests that it had asked for. Cause: a promise to a server that holds for all hosts together was kept by none. Hosts did not read Server-Limit, and the standing questions of each host for a server's cache events exceeded the limit by themselves. Change: a limit is divided among as many hosts as it allows requests a second, two at least, by rendezvous order of the live hosts that are not stopping. Each has permits of its own, the first ones one after the other; the others send nothing. A host's first second, a host that falls silent and hosts that begin to stop change the shares as the host list does. Placement, repeats, resumed streams, weight orders and reports need a permit; questions for cache events stop. Orders come from one host, which may have no share, and have two permits of their own. A limit ends with the first answer to a request that does not name it, or when nobody has heard it for ten seconds and three times the time between two requests. Rates below one request in ten seconds count as that. Why it works: all hosts compute the same few shares, whose rates sum up to the limit and whose saved permits to a second's worth.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -12,9 +12,9 @@
 use crate::{
     ServerKey, ServiceName,
     health::Health,
-    limit::Rate,
+    limit::{Call, Fleet, Rate, Statement},
     load::Load,
-    notice::{Archive, Availability, Effect, Notice},
+    notice::{Archive, Availability, Effect, LimitChange, Notice},
     pressure::Pressure,
     prompt,
 };
@@ -98,6 +98,8 @@
     grace_until: Moment,
     /// Availability of incarnations that are not among the servers.
     archive: Archive,
+    /// The hosts among which limits are divided.
+    fleet: Fleet,
 }
 
 impl Entry {
@@ -151,6 +153,18 @@
         self.availability.limit()
     }
 
+    /// Returns whether the server accepts a call now, by its pauses and its limit.
+    #[must_use]
+    pub fn accepts(&self, now: Moment, call: Call) -> bool {
+        self.availability.allows(now, call)
+    }
+
+    /// Returns when the server's pause ends and its limit allows a caller's request; `None` if both allow one now.
+    #[must_use]
+    pub fn closed_until(&self, now: Moment) -> Option<Moment> {
+        self.availability.closed_until(now)
+    }
+
     /// Returns whether a weights update is under way, during which the server refuses requests.
     #[must_use]
     pub fn updating(&self, now: Moment) -> bool {
@@ -247,25 +261,83 @@
 
     /// Records the notice in an answer of a server.
     pub fn observe_notice(&mut self, now: Moment, key: ServerKey, notice: Notice) -> Effect {
-        self.change_availability(key, |availability| availability.observe(now, notice))
+        self.change_availability(key, |availability, fleet| {
+            availability.observe(now, key, notice, fleet)
+        })
+    }
+
+    /// Uses a permit for a call to a server and returns true, if its pause and its limit allow the call.
+    pub fn take_call(&mut self, now: Moment, key: ServerKey, call: Call) -> bool {
+        self.change_availability(key, |availability, _| {
+            let allowed = availability.allows(now, call);
+            if allowed {
+                availability.take(now, call);
+            }
+            allowed
+        })
+    }
+
+    /// Returns the permit of a caller's request that was not sent after all.
+    pub fn give_back_call(&mut self, key: ServerKey) {
+        self.change_availability(key, |availability, _| availability.give_back());
+    }
+
+    /// Divides all limits among the hosts of a fleet.
+    pub fn set_fleet(&mut self, now: Moment, fleet: Fleet) {
+        self.fleet = fleet;
+        for server in self.servers.values_mut() {
+            server
+                .availability
+                .share_limit(now, server.key, &self.fleet);
+        }
+    }
+
+    /// Ends the limits that no host has heard for too long, and returns the names of their servers.
+    pub fn expire_limits(&mut self, now: Moment) -> Vec<ServerName> {
+        let servers = self.servers.values_mut();
+        servers
+            .filter_map(|server| {
+                let ended = server.availability.expire_limit(now);
+                ended.then(|| server.entry.name.clone())
+            })
+            .collect()
+    }
+
+    /// Returns what this host knows of limits and their ends.
+    pub fn limits(&self, now: Moment) -> impl Iterator<Item = (ServerKey, Statement)> {
+        let servers = self.servers.values();
+        servers.filter_map(move |server| Some((server.key, server.availability.statement(now)?)))
+    }
+
+    /// Records what another host knows of a server's limit. Returns what it changed.
+    pub fn learn_limit(
+        &mut self,
+        now: Moment,
+        key: ServerKey,
+        statement: Statement,
+    ) -> Option<LimitChange> {
+        self.change_availability(key, |availability, fleet| {
+            availability.learn_limit(now, key, statement, fleet)
+        })
     }
 
     /// Records that a server told this host or another one that it leaves. Returns whether that was not known.
     pub fn mark_leaving(&mut self, key: ServerKey) -> bool {
-        self.change_availability(key, Availability::mark_leaving)
+        self.change_availability(key, |availability, _| availability.mark_leaving())
     }
 
     /// Applies a change to the availability of a server, or to the archived one if the server has no entry.
     fn change_availability<T>(
         &mut self,
         key: ServerKey,
-        change: impl FnOnce(&mut Availability) -> T,
+        change: impl FnOnce(&mut Availability, &Fleet) -> T,
     ) -> T {
-        if let Some(server) = self.get_mut(key) {
-            return change(&mut server.availability);
+        let name = self.names.get(&key);
+        if let Some(server) = name.and_then(|name| self.servers.get_mut(name)) {
+            return change(&mut server.availability, &self.fleet);
         }
         let mut availability = self.archive.take(key);
-        let result = change(&mut availability);
+        let result = change(&mut availability, &self.fleet);
         self.archive.keep(key, availability);
         result
     }
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -1,6 +1,30 @@
 //! Request limits: the rate at which a server in need accepts requests from all hosts together.
+//!
+//! Hosts cannot agree on each request in time, so the rate is divided among a few hosts, which all hosts compute alike
+//! (rendezvous hashing). The others send nothing to the server. Dividing it among all hosts would not hold: in a large
+//! fleet one request of each host exceeds the limit of several seconds.
 
-use std::fmt;
+use std::{fmt, time::Duration};
+
+use jaystand_types::Moment;
+
+use crate::{ServerKey, prompt};
+
+/// Identity of a host, which is equal on all hosts.
+pub type HostId = u64;
+
+/// Fewest hosts among which a limit is divided, so that the loss of one host does not idle the server.
+const MIN_SHARES: u32 = 2;
+/// A share whose permits are not used saves up those of this time, but at least one.
+const BURST: Duration = Duration::from_millis(250);
+/// Lower limits count as this one: a server that gets no request cannot lift its limit.
+const MIN_PER_SECOND: f64 = 0.1;
+/// Permits for weight orders and the reports before them that a host saves up: one order and its report.
+const ORDER_PERMITS: f64 = 2.0;
+/// A limit ends when no host has heard it for this long, and for some times the average time between two requests:
+/// otherwise nobody would learn its end if the hosts that have a share get no requests from callers.
+const EXPIRY: Duration = Duration::from_secs(10);
+const EXPIRY_REQUESTS: f64 = 3.0;
 
 /// Thousandths of a request in a request.
 const MILLIS: f64 = 1_000.0;
@@ -44,12 +68,194 @@
     }
 }
 
+jaystand_types::common! { value
+    /// What a host knows of a server's limit, for other hosts.
+    pub struct Statement {
+        /// The limit; `None` if the server names none any more.
+        pub rate: Option<Rate>,
+        /// Time since the answer that said so.
+        pub age: Duration,
+    }
+}
+
+/// The hosts among which limits are divided.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// This host; `None` while it takes no share.
+    local: Option<HostId>,
+    others: Vec<HostId>,
+}
+
+/// A host's share of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Share {
+    /// Position among the hosts that have a share, from 0 on.
+    rank: u32,
+    /// Number of hosts that have a share.
+    shares: u32,
+}
+
+/// The limit of a server and the permits that this host has under it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Quota {
+    rate: Rate,
+    share: Option<Share>,
+    /// Permits for callers' requests at `updated`. Orders use them, too, and can make them negative.
+    permits: f64,
+    /// Permits for orders and reports at `updated`.
+    order_permits: f64,
+    updated: Moment,
+}
+
+impl Fleet {
+    /// Creates a fleet of this host, unless it takes no share, and others.
+    #[must_use]
+    pub fn new(local: Option<HostId>, others: Vec<HostId>) -> Self {
+        Self { local, others }
+    }
+
+    /// Returns this host's share of a server's limit.
+    fn share(&self, server: ServerKey, rate: Rate) -> Option<Share> {
+        let local = self.local?;
+        let order = |host: HostId| (prompt::mix(server, host), host);
+        let before = self
+            .others
+            .iter()
+            .filter(|host| order(**host) > order(local));
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let hosts = u32::try_from(self.others.len() + 1).unwrap_or(u32::MAX);
+        let shares = rate.shares().min(hosts);
+        (rank < shares).then_some(Share { rank, shares })
+    }
+}
+
+impl Quota {
+    /// Creates the quota of a limit that has just been named. The shares get their first permits one after the other.
+    pub(crate) fn new(now: Moment, server: ServerKey, rate: Rate, fleet: &Fleet) -> Self {
+        let share = fleet.share(server, rate);
+        let permits = share.map_or(0.0, |share| {
+            1.0 - f64::from(share.rank + 1) / f64::from(share.shares)
+        });
+        Self {
+            rate,
+            share,
+            permits,
+            order_permits: ORDER_PERMITS,
+            updated: now,
+        }
+    }
+
+    /// Returns the limit.
+    pub(crate) fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// Changes the limit or the fleet. Permits stay, and a host that gets a share begins without any.
+    pub(crate) fn change(&mut self, now: Moment, server: ServerKey, rate: Rate, fleet: &Fleet) {
+        self.refill(now);
+        let had_share = self.share.is_some();
+        self.rate = rate;
+        self.share = fleet.share(server, rate);
+        if !had_share {
+            self.permits = self.permits.min(0.0);
+        }
+    }
+
+    /// Returns whether a call may be sent now.
+    pub(crate) fn allows(&self, now: Moment, call: Call) -> bool {
+        match call {
+            Call::Request | Call::Retry | Call::Resume => self.permits(now) >= 1.0,
+            // Callers' requests use the limit better.
+            Call::CacheEvents => false,
+            Call::Report | Call::Order => self.order_permits(now) >= 1.0,
+        }
+    }
+
+    /// Uses a permit for a call that is sent now.
+    pub(crate) fn take(&mut self, now: Moment, call: Call) {
+        self.refill(now);
+        self.permits -= 1.0;
+        if matches!(call, Call::Report | Call::Order) {
+            self.order_permits -= 1.0;
+        }
+    }
+
+    /// Returns the permit of a call that was not sent after all.
+    pub(crate) fn give_back(&mut self) {
+        self.permits += 1.0;
+    }
+
+    /// Returns the time until some host is expected to have a permit for a caller's request.
+    pub(crate) fn next_permit(&self, now: Moment) -> Duration {
+        let local = self.share.map_or(f64::INFINITY, |share| {
+            (1.0 - self.permits(now)).max(0.0) / self.share_per_second(share)
+        });
+        Duration::from_secs_f64(local.min(1.0 / self.rate.divided()))
+    }
+
+    /// Returns how long the limit lasts without being named again.
+    pub(crate) fn lifetime(&self) -> Duration {
+        EXPIRY + Duration::from_secs_f64(EXPIRY_REQUESTS / self.rate.divided())
+    }
+
+    fn refill(&mut self, now: Moment) {
+        (self.permits, self.order_permits) = (self.permits(now), self.order_permits(now));
+        self.updated = now;
+    }
+
+    fn permits(&self, now: Moment) -> f64 {
+        let Some(share) = self.share else {
+            return self.permits.min(0.0);
+        };
+        let per_second = self.share_per_second(share);
+        let most = (per_second * BURST.as_secs_f64()).max(1.0);
+        (self.permits + per_second * self.elapsed(now)).min(most)
+    }
+
+    /// Orders come from one host at a time, which may have no share. It may send as much as one share allows.
+    fn order_permits(&self, now: Moment) -> f64 {
+        let per_second = self.rate.divided() / f64::from(self.rate.shares());
+        (self.order_permits + per_second * self.elapsed(now)).min(ORDER_PERMITS)
+    }
+
+    fn share_per_second(&self, share: Share) -> f64 {
+        self.rate.divided() / f64::from(share.shares)
+    }
+
+    fn elapsed(&self, now: Moment) -> f64 {
+        now.saturating_sub(self.updated).as_secs_f64()
+    }
+}
+
 impl Rate {
     /// Returns the rate in requests a second.
     #[must_use]
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / MILLIS
     }
+
+    /// Returns the rate in thousandths of a request a second.
+    #[must_use]
+    pub fn millis(self) -> u32 {
+        self.0
+    }
+
+    /// Returns the rate of thousandths of a request a second, unless it is 0.
+    #[must_use]
+    pub fn from_millis(millis: u32) -> Option<Self> {
+        (millis > 0).then_some(Self(millis))
+    }
+
+    /// Returns the requests a second that hosts divide among them.
+    fn divided(self) -> f64 {
+        self.per_second().max(MIN_PER_SECOND)
+    }
+
+    /// Returns the number of shares of a limit: one for each request a second, so that the requests that all hosts
+    /// have saved up are those of about a second.
+    fn shares(self) -> u32 {
+        self.0.div_ceil(1_000).max(MIN_SHARES)
+    }
 }
 
 impl TryFrom<f64> for Rate {
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -1,5 +1,8 @@
 //! Notices that a server puts into the head of any answer: that it leaves, or that it asks for a pause without
-//! requests.
+//! requests, or that it limits them.
+//!
+//! Leaving takes precedence over a pause, and a pause over a limit: a server that leaves gets nothing, one in a pause
+//! nothing until its end, and the limit applies to what remains.
 //!
 //! A notice reaches only the host that sent the request, and does so sooner than the directory. It takes precedence
 //! over the directory and over other hosts' copies of it, until a new incarnation of the server starts.
@@ -11,7 +14,7 @@
 
 use crate::{
     ServerKey,
-    limit::{Limit, Rate},
+    limit::{Call, Fleet, Limit, Quota, Rate, Statement},
 };
 
 /// Longer pauses are cut to this length. No sheet has a pause of a minute, and a wrong value must not keep a server
@@ -82,7 +85,9 @@
     paused_until: Option<Moment>,
     /// Whether it has requested an invalid pause.
     requested_invalid: bool,
-    limit: Option<Rate>,
+    quota: Option<Quota>,
+    /// Time of the answer that last named the limit, or the first one that no longer did.
+    limit_stated: Option<Moment>,
     /// Whether it has named an invalid limit.
     named_invalid: bool,
 }
@@ -100,7 +105,82 @@
 
     /// Returns the limit that the server names for requests of all hosts together.
     pub(crate) fn limit(&self) -> Option<Rate> {
-        self.limit
+        self.quota.as_ref().map(Quota::rate)
+    }
+
+    /// Returns whether a pause or the limit allows a call.
+    pub(crate) fn allows(&self, now: Moment, call: Call) -> bool {
+        let limited = self.quota.as_ref();
+        self.paused_until(now).is_none() && limited.is_none_or(|quota| quota.allows(now, call))
+    }
+
+    /// Uses a permit for a call, if the server limits requests.
+    pub(crate) fn take(&mut self, now: Moment, call: Call) {
+        if let Some(quota) = &mut self.quota {
+            quota.take(now, call);
+        }
+    }
+
+    /// Returns the permit of a caller's request that was not sent after all.
+    pub(crate) fn give_back(&mut self) {
+        if let Some(quota) = &mut self.quota {
+            quota.give_back();
+        }
+    }
+
+    /// Returns when the pause ends and the limit allows a caller's request; `None` if both allow one now.
+    pub(crate) fn closed_until(&self, now: Moment) -> Option<Moment> {
+        if self.allows(now, Call::Request) {
+            return None;
+        }
+        let pause = self.paused_until(now).unwrap_or(now);
+        let quota = self.quota.as_ref();
+        let limit = quota.map_or(now, |quota| now + quota.next_permit(now));
+        Some(pause.max(limit))
+    }
+
+    /// Returns the age of the newest answer that stated the limit or its end, and what it stated.
+    pub(crate) fn statement(&self, now: Moment) -> Option<Statement> {
+        Some(Statement {
+            rate: self.limit(),
+            age: now.saturating_sub(self.limit_stated?),
+        })
+    }
+
+    /// Records what another host knows of the limit, if it is newer. Returns what it changed.
+    pub(crate) fn learn_limit(
+        &mut self,
+        now: Moment,
+        server: ServerKey,
+        statement: Statement,
+        fleet: &Fleet,
+    ) -> Option<LimitChange> {
+        let stated = now.saturating_sub(statement.age);
+        if self.limit_stated.is_some_and(|known| known >= stated) {
+            return None;
+        }
+        if let Some(rate) = statement.rate {
+            return self.set_limit(now, stated, server, rate, fleet);
+        }
+        self.limit_stated = Some(stated);
+        self.quota.take().map(|_| LimitChange::Ended)
+    }
+
+    /// Divides the limit among the hosts of a fleet.
+    pub(crate) fn share_limit(&mut self, now: Moment, server: ServerKey, fleet: &Fleet) {
+        if let Some(quota) = &mut self.quota {
+            quota.change(now, server, quota.rate(), fleet);
+        }
+    }
+
+    /// Ends a limit that no host has heard for too long. Returns whether it ended.
+    pub(crate) fn expire_limit(&mut self, now: Moment) -> bool {
+        // Nobody hears the limit during a pause.
+        let heard = self.limit_stated.max(self.paused_until);
+        let (Some(quota), Some(heard)) = (&self.quota, heard) else {
+            return false;
+        };
+        now > heard + quota.lifetime() && self.end_limit(now).is_some()
     }
 
     /// Records that the server leaves. Returns whether that was not known.
@@ -109,7 +189,13 @@
     }
 
     /// Records the notice in an answer.
-    pub(crate) fn observe(&mut self, now: Moment, notice: Notice) -> Effect {
+    pub(crate) fn observe(
+        &mut self,
+        now: Moment,
+        server: ServerKey,
+        notice: Notice,
+        fleet: &Fleet,
+    ) -> Effect {
         let leaves = notice.leaving && self.mark_leaving();
         let (paused, invalid) = match notice.pause {
             Pause::None => (None, false),
@@ -120,24 +206,51 @@
             leaves,
             paused,
             invalid: invalid && !std::mem::replace(&mut self.requested_invalid, true),
-            limit: self.observe_limit(notice.limit),
+            limit: self.observe_limit(now, server, notice.limit, fleet),
         }
     }
 
     /// Records the limit in an answer. Returns what it changed.
-    fn observe_limit(&mut self, limit: Limit) -> Option<LimitChange> {
+    fn observe_limit(
+        &mut self,
+        now: Moment,
+        server: ServerKey,
+        limit: Limit,
+        fleet: &Fleet,
+    ) -> Option<LimitChange> {
         match limit {
             Limit::Unstated => None,
-            Limit::None => self.limit.take().map(|_| LimitChange::Ended),
-            Limit::PerSecond(rate) => {
-                (self.limit.replace(rate) != Some(rate)).then_some(LimitChange::Named(rate))
-            }
+            Limit::None => self.end_limit(now),
+            Limit::PerSecond(rate) => self.set_limit(now, now, server, rate, fleet),
             Limit::Invalid => {
                 (!std::mem::replace(&mut self.named_invalid, true)).then_some(LimitChange::Invalid)
             }
         }
     }
 
+    fn set_limit(
+        &mut self,
+        now: Moment,
+        stated: Moment,
+        server: ServerKey,
+        rate: Rate,
+        fleet: &Fleet,
+    ) -> Option<LimitChange> {
+        self.limit_stated = Some(stated);
+        match &mut self.quota {
+            Some(quota) if quota.rate() == rate => return None,
+            Some(quota) => quota.change(now, server, rate, fleet),
+            None => self.quota = Some(Quota::new(now, server, rate, fleet)),
+        }
+        Some(LimitChange::Named(rate))
+    }
+
+    fn end_limit(&mut self, stated: Moment) -> Option<LimitChange> {
+        self.quota.take()?;
+        self.limit_stated = Some(stated);
+        Some(LimitChange::Ended)
+    }
+
     /// Begins a pause or extends the current one, which a shorter one never ends earlier. Returns the length of a pause
     /// that begins.
     fn extend_pause(&mut self, now: Moment, pause: Duration) -> Option<Duration> {
@@ -149,7 +262,7 @@
 
     /// Returns whether there is anything worth archiving.
     fn is_restricted(&self) -> bool {
-        self.leaving || self.paused_until.is_some() || self.limit.is_some()
+        self.leaving || self.paused_until.is_some() || self.limit_stated.is_some()
     }
 }
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -14,6 +14,7 @@
     config::Engine,
     directory::{Directory, Server},
     holdings::Holdings,
+    limit::Call,
     load::{Load, Peers},
     prompt::{self, Prompt, Salt},
     reach::Reach,
@@ -276,7 +277,7 @@
         if server.entry.service != *query.service
             || !server.takes_work()
             || server.updating(now)
-            || server.paused_until(now).is_some()
+            || !server.accepts(now, Call::Request)
             || query.avoid.contains(&server.key)
         {
             return false;
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -9,6 +9,7 @@
 use crate::{
     ServerKey,
     directory::{Directory, Server},
+    limit::Call,
 };
 
 /// Maximum share of the engines that are updated at the same time, in percent. The users' sheets state that loading
@@ -250,8 +251,8 @@
     let mut due: Vec<(bool, Version, u32, Update)> = directory
         .iter()
         .filter(|server| server.takes_work() && !under_way(server))
-        // A server that asked for a pause gets no order either, since an order is a request.
-        .filter(|server| server.paused_until(now).is_none())
+        // An order and the report before it are requests, too.
+        .filter(|server| server.accepts(now, Call::Report))
         .filter_map(|server| {
             let (model, version) = versions.outdated(server)?;
             let served = server.entry.version(&model).unwrap_or(0);
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -6,10 +6,10 @@
 
 use jaystand_dispatch::{
     ServerKey,
-    limit::{Limit, Rate},
+    limit::{self, Call, Limit, Rate},
     notice::Notice,
     prompt::mix,
-    report::PERIOD,
+    report::{MAX_BRIEF_RECEIVERS, PERIOD},
 };
 use jaystand_types::Moment;
 use rand::{RngExt as _, SeedableRng as _};
@@ -70,10 +70,12 @@
         per_second: f64,
         limit: impl Fn(Moment) -> Limit,
     ) {
-        let period = u64::try_from(PERIOD.as_millis()).expect("short");
         let mut now = from;
         while now < until {
-            if now.as_millis().is_multiple_of(u128::from(period)) {
+            if now
+                .as_millis()
+                .is_multiple_of(u128::from(self.report_period()))
+            {
                 self.report(now);
             }
             self.deliver_answers(now, limit(now));
@@ -93,13 +95,26 @@
         }
     }
 
+    /// Returns the milliseconds after which all hosts have heard of all others; in large fleets each report goes to some.
+    fn report_period(&self) -> u64 {
+        let receivers = MAX_BRIEF_RECEIVERS;
+        u64::try_from(PERIOD.as_millis() * self.hosts.len().div_ceil(receivers) as u128)
+            .expect("short")
+    }
+
     fn report(&mut self, now: Moment) {
         exchange_reports(now, &mut self.hosts);
+        let ids: Vec<u64> = (0..self.hosts.len() as u64).collect();
+        for (local, host) in ids.iter().zip(&mut self.hosts) {
+            let others = ids.iter().copied().filter(|id| id != local).collect();
+            host.directory
+                .set_fleet(now, limit::Fleet::new(Some(*local), others));
+        }
     }
 
     fn may_poll(&mut self, now: Moment, host: usize) -> bool {
-        let server = self.hosts[host].directory.get(self.limited);
-        server.is_some_and(|server| server.paused_until(now).is_none())
+        let directory = &mut self.hosts[host].directory;
+        directory.take_call(now, self.limited, Call::CacheEvents)
     }
 
     fn send_request(&mut self, now: Moment) {
@@ -109,7 +124,8 @@
         let prompt = prompt(&document, 568, 1_800);
         let state = &self.hosts[host];
         let choice = self.site.place(now, state, &state.holdings, call, &prompt);
-        if choice.server == self.limited {
+        let directory = &mut self.hosts[host].directory;
+        if choice.server == self.limited && directory.take_call(now, self.limited, Call::Request) {
             self.arrive(now, host);
         }
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -334,6 +334,11 @@
                     continue;
                 }
             };
+            if !self.hub.accepts_call(choice.server, self.purpose()) {
+                // Another request has used the permit while this one connected.
+                self.hub.return_connection(pooled, None).await;
+                continue;
+            }
             if self.sends > 0 && !self.take_retry() {
                 return Err(Failure {
                     reason: Reason::Attempts,
@@ -355,7 +360,7 @@
         connections
             .with_label_values(&[self.service.as_str(), origin])
             .inc();
-        self.hub.record_call(server, self.purpose());
+        self.hub.take_call(server, self.purpose());
         self.sends += 1;
         let sent = self.hub.now();
         self.record_holdings(sent, &choice);
@@ -370,6 +375,7 @@
                 self.sends -= 1;
                 self.unreachable += 1;
                 self.hub.pool.close_idle(server);
+                self.hub.state.borrow_mut().directory.give_back_call(server);
                 return None;
             }
             Ok(Err(error)) => {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -438,22 +438,25 @@
         }
     }
 
-    /// Counts a call to a server, if the server limits requests.
-    pub(crate) fn record_call(&self, key: ServerKey, call: Call) {
+    /// Returns whether a server accepts a call now, by its pauses and its limit.
+    pub(crate) fn accepts_call(&self, key: ServerKey, call: Call) -> bool {
         let state = self.state.borrow();
+        let server = state.directory.get(key);
+        server.is_none_or(|server| server.accepts(self.now(), call))
+    }
+
+    /// Uses a permit for a call to a server and returns true, if its pause and its limit allow the call.
+    pub(crate) fn take_call(&self, key: ServerKey, call: Call) -> bool {
+        let mut state = self.state.borrow_mut();
+        if !state.directory.take_call(self.now(), key, call) {
+            return false;
+        }
         let limited = state.directory.get(key).filter(|s| s.limit().is_some());
         if let Some(server) = limited {
             let labels = [server.entry.name.as_str(), call.as_str()];
             self.metrics.limited_calls.with_label_values(&labels).inc();
         }
-    }
-
-    /// Returns the rest of the pause that a server asked this host for, if one is in force.
-    pub(crate) fn remaining_pause(&self, key: ServerKey) -> Option<Duration> {
-        let now = self.now();
-        let state = self.state.borrow();
-        let until = state.directory.get(key)?.paused_until(now)?;
-        Some(until.saturating_sub(now))
+        true
     }
 
     /// Runs a task for as long as the process runs, and starts it again when it panics.
@@ -503,7 +506,7 @@
 
     /// Chooses the source of configuration, servers and weights anew.
     pub(crate) fn choose_source(&self) {
-        let source = self.relays.borrow_mut().choose(self.now(), relay_id);
+        let source = self.relays.borrow_mut().choose(self.now(), host_id);
         let changed = self.source.send_if_modified(|former| {
             let changed = *former != source;
             *former = source;
@@ -664,8 +667,8 @@
     }
 }
 
-/// Returns a host's id in the order of relays, which is the same on all hosts.
-fn relay_id(host: IpAddr) -> u64 {
+/// Returns the id of a host in rendezvous orders, which is the same on all hosts.
+pub(crate) fn host_id(host: IpAddr) -> u64 {
     match host {
         IpAddr::V4(address) => prompt::hash(&address.octets()),
         IpAddr::V6(address) => prompt::hash(&address.octets()),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -85,8 +85,8 @@
     let mut since = 0;
     let mut boot_epoch = None;
     loop {
-        if let Some(pause) = hub.remaining_pause(server) {
-            sleep(pause).await;
+        if !hub.accepts_call(server, Call::CacheEvents) {
+            sleep(CALL_PAUSE).await;
             continue;
         }
         let events = match read_events(&hub, &mut connection, server, address, &name, since).await {
@@ -98,8 +98,10 @@
                 continue;
             }
         };
-        // The first answer counts as a restart, too.
-        let restarted = boot_epoch.replace(events.boot_epoch) != Some(events.boot_epoch);
+        // The first answer counts as a restart, too, and so does one after a time without questions in which the engine
+        // has dropped events.
+        let restarted =
+            boot_epoch.replace(events.boot_epoch) != Some(events.boot_epoch) || events.gap;
         since = events.next;
         apply_events(&hub, server, restarted, &events);
         sleep(CALL_PAUSE).await;
@@ -140,7 +142,10 @@
     *headers = engine::headers(name, &address.to_string()).map_err(|_| link::Error::NotSent)?;
     let (wait, value) = engine::wait_header(WAIT);
     headers.insert(wait, value);
-    hub.record_call(server, Call::CacheEvents);
+    if !hub.take_call(server, Call::CacheEvents) {
+        *connection = Some(open);
+        return Err(link::Error::NotSent);
+    }
     let answer = timeout(ANSWER_TIMEOUT, open.exchange(request, MAX_ANSWER_BYTES))
         .await
         .map_err(|_| link::Error::Timeout)??;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -263,8 +263,8 @@
         if serves_version(hub, update) {
             return "done";
         }
-        if let Some(pause) = hub.remaining_pause(update.server) {
-            sleep(pause).await;
+        if !hub.accepts_call(update.server, Call::Report) {
+            sleep(VERSION_CHECK_PERIOD).await;
             continue;
         }
         let report = match read_report(hub, update.server, address, &name).await {
@@ -439,6 +439,14 @@
     body: Bytes,
     permitted: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), Error> {
+    let (path, purpose) = if method == Method::GET {
+        (engine::REPORT_PATH, Call::Report)
+    } else {
+        (engine::ORDER_PATH, Call::Order)
+    };
+    while !hub.accepts_call(server, purpose) {
+        sleep(VERSION_CHECK_PERIOD).await;
+    }
     let mut pooled = match hub.pool.acquire(server, address, ANSWER_TIMEOUT).await {
         Ok(pooled) => pooled,
         Err(error) => {
@@ -456,12 +464,7 @@
         log::error!(server = name; "cannot build a call: {error}");
         HeaderMap::new()
     });
-    let (path, purpose) = if method == Method::GET {
-        (engine::REPORT_PATH, Call::Report)
-    } else {
-        (engine::ORDER_PATH, Call::Order)
-    };
-    hub.record_call(server, purpose);
+    hub.take_call(server, purpose);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = http::Uri::from_static(path);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -11,6 +11,7 @@
 
 use jaystand_dispatch::{
     lease::Record,
+    limit::Fleet,
     load::Load,
     report::{self, Schedule},
     source::Source,
@@ -23,7 +24,7 @@
 
 use crate::{
     clock, copy, feed,
-    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, whole_ms},
+    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, whole_ms},
 };
 
 /// Largest number of hosts that get a whole report in one round.
@@ -42,6 +43,8 @@
 /// A process counts as new while it has run for less than this and knows fewer hosts than the next constant.
 const MAX_NEW_AGE: Duration = Duration::from_secs(3);
 const MAX_KNOWN_HOSTS_IF_NEW: usize = 24;
+/// A process takes no share of a limit for this long after its start, since it may not know all hosts yet.
+const SHARES_DELAY: Duration = Duration::from_secs(1);
 /// How often a host checks which source it follows, and whether it needs a copy from a peer.
 const COPY_PERIOD: Duration = Duration::from_millis(250);
 /// A configuration that a peer has and this host lacks usually arrives from the store within this time.
@@ -203,6 +206,7 @@
         let now = hub.now();
         hub.state.borrow_mut().observe_prompts(now);
         let mut others = live_hosts(&hub, now);
+        share_limits(&hub, now);
         others.shuffle(&mut rand::rng());
         let mut brief_receivers = others.split_off(others.len().min(MAX_WHOLE_RECEIVERS));
         brief_receivers.truncate(report::MAX_BRIEF_RECEIVERS);
@@ -293,6 +297,19 @@
     state.hosts.keys().copied().collect()
 }
 
+/// Divides the limits of servers among the live hosts that are not stopping, and ends those that no host hears any more.
+fn share_limits(hub: &Hub, now: Moment) {
+    let takes_share = now >= SHARES_DELAY && !hub.is_stopping();
+    let local = takes_share.then(|| host_id(hub.settings.borrow().listen.front.ip()));
+    let mut state = hub.state.borrow_mut();
+    let others = state.hosts.iter().filter(|(_, host)| !host.stopping);
+    let others = others.map(|(address, _)| host_id(*address)).collect();
+    state.directory.set_fleet(now, Fleet::new(local, others));
+    for name in state.directory.expire_limits(now) {
+        log::info!(server = name.as_str(), source = "silence"; "the server limits requests no more");
+    }
+}
+
 /// Drops the entries, the oldest first, that have been reported for longer than `reported_for`.
 fn drop_expired<T>(
     entries: &mut VecDeque<T>,
