Tell other hosts the limits of servers

What callers saw: nothing; a host that has not got an answer of a limited server yet sends to it without bound, and a host without a share never hears that the limit has ended. Cause: limits were learned only from answers to this host. Change: reports carry limits, and ends of limits for ten seconds, with the age of the answer that stated them; the newest statement holds. Changes go out at once with the news.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -402,8 +402,10 @@
             return;
         }
         let mut notice = response::notice(status, headers);
-        if identity == Identity::Other {
-            // A late answer to an earlier request may name a limit that has changed since.
+        let is_late = identity == Identity::Other;
+        // Only an answer to a caller's request proves that the limit has ended.
+        let proves_no_end = identity == Identity::Missing && notice.limit == Limit::None;
+        if is_late || proves_no_end {
             notice.limit = Limit::Unstated;
         }
         let now = self.now();
@@ -417,13 +419,9 @@
             log::info!(server = name, pause_ms = whole_ms(pause);
                 "the server wants no requests for a while");
         }
+        log_limit_change(name, learned.limit, "answer");
         match learned.limit {
-            Some(LimitChange::Named(rate)) => {
-                log::info!(server = name, per_s = rate.per_second(), source = "answer"; "the server limits requests");
-            }
-            Some(LimitChange::Ended) => {
-                log::info!(server = name, source = "answer"; "the server limits requests no more");
-            }
+            Some(LimitChange::Named(_) | LimitChange::Ended) => self.report_now.notify_one(),
             Some(LimitChange::Invalid) => {
                 log::warn!(server = name, named:? = response::limit_value(headers);
                     "the server names a limit that is no positive number; ignored and stated once");
@@ -675,6 +673,19 @@
     }
 }
 
+/// Logs that a server names another limit, or none any more.
+pub(crate) fn log_limit_change(server: &str, change: Option<LimitChange>, source: &str) {
+    match change {
+        Some(LimitChange::Named(rate)) => {
+            log::info!(server, per_s = rate.per_second(), source; "the server limits requests");
+        }
+        Some(LimitChange::Ended) => {
+            log::info!(server, source; "the server limits requests no more");
+        }
+        Some(LimitChange::Invalid) | None => {}
+    }
+}
+
 /// Returns a duration in whole milliseconds.
 pub(crate) fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -11,8 +11,9 @@
 
 use jaystand_dispatch::{
     lease::Record,
-    limit::Fleet,
+    limit::{Fleet, Rate, Statement},
     load::Load,
+    notice::LimitChange,
     report::{self, Schedule},
     source::Source,
     weights::Age,
@@ -24,7 +25,7 @@
 
 use crate::{
     clock, copy, feed,
-    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, whole_ms},
+    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, log_limit_change, whole_ms},
 };
 
 /// Largest number of hosts that get a whole report in one round.
@@ -54,6 +55,10 @@
 const DEPARTURES_REPORTED_FOR: Duration = Duration::from_secs(10);
 /// Largest number of departures that a report names, the newest ones.
 const MAX_DEPARTURES: usize = 64;
+/// The end of a limit is reported for this long, since reports may be lost.
+const LIMIT_END_REPORTED_FOR: Duration = Duration::from_secs(10);
+/// Largest number of limits that a report names.
+const MAX_LIMITS: usize = 64;
 /// Largest report that can be received.
 const MAX_REPORT_BYTES: usize = 8_192;
 /// Token counts are sent in units of this many tokens.
@@ -101,6 +106,9 @@
     /// Servers that told the sender that they are leaving.
     #[prost(uint64, repeated, tag = "18")]
     departures: Vec<u64>,
+    /// Limits of servers, and recent ends of limits.
+    #[prost(message, repeated, tag = "19")]
+    limits: Vec<LimitEntry>,
 }
 
 /// Hosts of a data centre that have reported to the sender.
@@ -183,6 +191,18 @@
     presumed: bool,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct LimitEntry {
+    #[prost(uint64, tag = "1")]
+    server: u64,
+    /// Thousandths of a request a second; 0 when the server names no limit any more.
+    #[prost(uint32, tag = "2")]
+    millis: u32,
+    /// Age of the answer that said so.
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
 /// Sends reports to other hosts for as long as the process runs.
 ///
 /// In each period a few random hosts get a whole report, and others, up to a limit, a brief one. What must be known at
@@ -254,6 +274,7 @@
             updates: self.updates.clone(),
             parts: self.parts.clone(),
             departures: self.departures.clone(),
+            limits: self.limits.clone(),
             scope: Scope::Brief.into(),
             data_centre: self.data_centre.clone(),
             link: self.link,
@@ -275,6 +296,7 @@
             abandoned_fence: self.abandoned_fence,
             updates: self.updates.into_iter().filter(recent).collect(),
             departures: self.departures,
+            limits: self.limits,
             scope: Scope::News.into(),
             data_centre: self.data_centre,
             link: self.link,
@@ -283,6 +305,21 @@
     }
 }
 
+/// Returns the limits of servers, and the ends of limits that may not be known to all hosts yet.
+fn compose_limits(state: &State, now: Moment) -> Vec<LimitEntry> {
+    let limits = state.directory.limits(now);
+    limits
+        .filter(|(_, limit)| limit.rate.is_some() || limit.age < LIMIT_END_REPORTED_FOR)
+        .take(MAX_LIMITS)
+        .map(|(server, limit)| LimitEntry {
+            server,
+            millis: limit.rate.map_or(0, Rate::millis),
+            // Rounded up, so that a statement never seems newer than it is.
+            age_ms: whole_ms(limit.age) + 1,
+        })
+        .collect()
+}
+
 /// Removes the hosts that have not reported recently, and returns the others.
 fn live_hosts(hub: &Hub, now: Moment) -> Vec<IpAddr> {
     let mut state = hub.state.borrow_mut();
@@ -306,7 +343,7 @@
     let others = others.map(|(address, _)| host_id(*address)).collect();
     state.directory.set_fleet(now, Fleet::new(local, others));
     for name in state.directory.expire_limits(now) {
-        log::info!(server = name.as_str(), source = "silence"; "the server limits requests no more");
+        log_limit_change(&name, Some(LimitChange::Ended), "silence");
     }
 }
 
@@ -393,6 +430,7 @@
             .take(MAX_DEPARTURES)
             .map(|(_, server)| *server)
             .collect(),
+        limits: compose_limits(state, now),
         updates: state
             .updates
             .iter()
@@ -558,6 +596,14 @@
                 log::info!(server = state.directory.name(*server), source = "peer"; "the server leaves");
             }
         }
+        for limit in &report.limits {
+            let statement = Statement {
+                rate: Rate::from_millis(limit.millis),
+                age: Duration::from_millis(limit.age_ms),
+            };
+            let change = state.directory.learn_limit(now, limit.server, statement);
+            log_limit_change(state.directory.name(limit.server), change, "peer");
+        }
         for update in &report.updates {
             let Some(server) = state.directory.get_mut(update.server) else {
                 continue;
