Tell callers when a limited service has a permit again

What callers saw: if all servers of a service limited requests, 503 with reason no_server and a Retry-After of 0.3 s, whatever the limits were. Cause: only pauses had a reason with a time.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -29,6 +29,9 @@
         NoServer,
         /// All servers that may run it asked for a pause; the first pause ends after this time.
         Paused(Duration),
+        /// All servers that may run it asked for a pause or limit requests; some host is expected to have a permit after
+        /// this time.
+        Limited(Duration),
         /// Every attempt was refused or did not reach its server.
         Attempts,
         /// Its body does not fit into the memory reserved for bodies.
@@ -52,6 +55,7 @@
             Self::Unproven => "unproven",
             Self::NoServer => "no_server",
             Self::Paused(_) => "servers_pause",
+            Self::Limited(_) => "servers_limit",
             Self::Attempts => "attempts",
             Self::Memory => "memory",
             Self::Overload => "overload",
@@ -83,7 +87,7 @@
 pub fn retry_after(reason: Reason, expected: Option<Duration>, left: Duration) -> Duration {
     let wanted = match reason {
         Reason::Stopping => Duration::ZERO,
-        Reason::Paused(pause) => pause,
+        Reason::Paused(wait) | Reason::Limited(wait) => wait,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE_AFTER) / 2,
         // The retry may reach another host, which may have the proof.
         Reason::Attempts | Reason::Unproven => MIN_RETRY_AFTER,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     ServerKey, ServiceName,
+    admission::Reason,
     config::Engine,
     directory::{Directory, Server},
     holdings::Holdings,
@@ -196,16 +197,24 @@
             .or_else(|| self.choose_from(now, query, &order, None))
     }
 
-    /// Returns when the first pause ends, if all servers of the request's service have asked this host for a pause.
+    /// Returns why no server of the request's service accepts a request now, if pauses and limits are the reason, with
+    /// the time until the first one does.
     #[must_use]
-    pub fn all_paused_until(&self, now: Moment, query: &Query<'_>) -> Option<Moment> {
+    pub fn closed_reason(&self, now: Moment, query: &Query<'_>) -> Option<Reason> {
         let mut earliest = None;
+        let mut limited = false;
         let servers = self.directory.iter();
         for server in servers.filter(|s| s.entry.service == *query.service && s.takes_work()) {
-            let until = server.paused_until(now)?;
+            let until = server.closed_until(now)?;
             earliest = Some(earliest.map_or(until, |earliest: Moment| earliest.min(until)));
+            limited |= server.paused_until(now).is_none();
         }
-        earliest
+        let wait = earliest?.saturating_sub(now);
+        Some(if limited {
+            Reason::Limited(wait)
+        } else {
+            Reason::Paused(wait)
+        })
     }
 
     /// Returns the server with the lowest score among the sampled ones and those that have cached the whole shared
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -551,16 +551,12 @@
             avoid: &self.tried,
         };
         let Some(choice) = view.choose(now, &query) else {
-            if let Some(until) = view.all_paused_until(now, &query) {
-                return Err(Failure {
-                    reason: Reason::Paused(until.saturating_sub(now)),
-                });
-            }
-            let reason = if self.tried.is_empty() {
+            let reason = view.closed_reason(now, &query);
+            let reason = reason.unwrap_or(if self.tried.is_empty() {
                 Reason::NoServer
             } else {
                 Reason::Attempts
-            };
+            });
             return Err(Failure { reason });
         };
         self.expected = Some(choice.expected);
