Let the stand-in servers of the soak limit requests, and judge it from outside

Cause: no test with processes named a limit, and the soak judged no promise to servers. Change: a signal makes a stand-in server name a limit of 1 to 5 requests a second for five seconds and print each call meanwhile. The soak sends it at random times of a sequence of its own, so that the other faults of a seed stay as they were. The checker counts callers' requests of undisturbed gateways that have got an answer with the limit, and calls without an id while no gateway is disturbed, against the users' promise.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -40,6 +40,19 @@
     pub after: u64,
 }
 
+/// A call that arrived at a server while its answers named a limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitedCall {
+    /// Requests a second that the limit allows.
+    pub per_second: f64,
+    /// Time since the limit was first named.
+    pub after: Duration,
+    /// Time since the start of the run.
+    pub received_at: Duration,
+    /// Id of the request; empty for calls that are no caller's request.
+    pub id: String,
+}
+
 /// How a request ended for its caller. The `Debug` output of the last two variants is written to the report.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
@@ -76,11 +89,21 @@
     ran: HashMap<String, Vec<Ran>>,
     ended: HashMap<String, End>,
     fences: BTreeMap<u64, String>,
+    // By server and number of its limit.
+    limited: BTreeMap<(String, u64), Vec<LimitedCall>>,
     // Gateway, start and end of each disturbance; times since the start of the run.
     disturbances: Vec<(SocketAddr, Duration, Duration)>,
     breaches: Vec<Breach>,
 }
 
+/// A limit must hold from this long after it was first named.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+/// In each window, a server may get this many times what its limit allows, and some calls more.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_EXCESS: f64 = 5.0;
+/// Calls of a gateway count from this long after one that was answered with the limit.
+const LIMIT_TOLD: Duration = Duration::from_millis(500);
 /// Longest time from sending a request to its answer or the caller's timeout.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(6);
 
@@ -112,6 +135,12 @@
         }
     }
 
+    /// Records a call that arrived at a server while its answers named a limit.
+    pub fn record_limited_call(&mut self, server: &str, limit: u64, call: LimitedCall) {
+        let calls = self.limited.entry((server.to_owned(), limit)).or_default();
+        calls.push(call);
+    }
+
     /// Records the time in which a gateway was stopped, paused or killed.
     pub fn record_disturbance(&mut self, gateway: SocketAddr, since: Duration, until: Duration) {
         self.disturbances.push((gateway, since, until));
@@ -175,6 +204,14 @@
                 report("orders run once", format!("{id} ran {} times", runs.len()));
             }
         }
+        for ((server, _), calls) in &self.limited {
+            if let Some(seen) = self.limit_excess(calls) {
+                report(
+                    "limits hold for all hosts together",
+                    format!("{server}: {seen}"),
+                );
+            }
+        }
         for (id, end) in &self.ended {
             let kind = self.sent.get(id).map(|sent| sent.kind);
             let ran = self.ran.contains_key(id);
@@ -217,6 +254,55 @@
         breaches
     }
 
+    /// Returns what exceeds a limit, if anything, by the calls of undisturbed gateways that have got an answer with it.
+    fn limit_excess(&self, calls: &[LimitedCall]) -> Option<String> {
+        let mut told: HashMap<SocketAddr, Duration> = HashMap::new();
+        let mut counted: Vec<Duration> = Vec::new();
+        for call in calls {
+            let since = call.received_at.saturating_sub(call.after);
+            let Some(sent) = self.sent.get(&call.id) else {
+                // Calls without an id may come from any gateway.
+                let mut gateways = self.sent.values().map(|sent| sent.gateway);
+                if gateways.all(|gateway| self.is_undisturbed(gateway, since, call.received_at)) {
+                    counted.push(call.after);
+                }
+                continue;
+            };
+            if !self.is_undisturbed(sent.gateway, since, call.received_at) {
+                continue;
+            }
+            let is_answered = matches!(
+                self.ended.get(&call.id),
+                Some(End::Answer { sealed: true, .. })
+            );
+            match told.get(&sent.gateway) {
+                Some(told) if *told + LIMIT_TOLD <= call.after => counted.push(call.after),
+                None if is_answered => {
+                    told.insert(sent.gateway, call.after);
+                }
+                _ => {}
+            }
+        }
+        let per_second = calls.first()?.per_second;
+        let allowed = LIMIT_FACTOR * per_second * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXCESS;
+        let ends = counted.iter().filter(|end| **end >= LIMIT_NOTICE);
+        let most = ends
+            .map(|end| {
+                let in_window = |at: &&Duration| **at <= *end && **at + LIMIT_WINDOW > *end;
+                counted.iter().filter(in_window).count()
+            })
+            .max()?;
+        let exceeds = f64::from(u32::try_from(most).unwrap_or(u32::MAX)) > allowed;
+        exceeds.then(|| format!("{most} calls in 4 s at {per_second} a second"))
+    }
+
+    /// Returns whether a gateway was neither stopped, paused nor killed in some time.
+    fn is_undisturbed(&self, gateway: SocketAddr, from: Duration, to: Duration) -> bool {
+        let mut disturbances = self.disturbances.iter();
+        !disturbances
+            .any(|(other, since, until)| *other == gateway && *since <= to && from <= *until)
+    }
+
     /// Returns whether the gateway of a request was neither stopped, paused nor killed while the request could be in
     /// flight.
     fn was_undisturbed(&self, id: &str) -> bool {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -31,7 +31,7 @@
 
 use crate::{
     caller::Callers,
-    check::{Checker, Ran},
+    check::{Checker, LimitedCall, Ran},
     plan::{Fault, Mode, Shape},
     proxy::Proxy,
 };
@@ -200,6 +200,13 @@
                     send_signal(&running.child, Signal::USR1);
                 }
             }
+            Fault::Limit(index) => {
+                let slot = self.servers[index].lock().await;
+                if let Some(running) = slot.as_ref() {
+                    sleep(SIGNAL_HANDLER_DELAY).await;
+                    send_signal(&running.child, Signal::USR2);
+                }
+            }
             Fault::Leave(index) => {
                 let mut slot = self.servers[index].lock().await;
                 if let Some(running) = slot.take() {
@@ -424,6 +431,23 @@
                         .expect("not poisoned")
                         .record_order(&holder, fence);
                 }
+                Line::Limited {
+                    limit,
+                    per_second,
+                    after_ms,
+                    id,
+                } => {
+                    let call = LimitedCall {
+                        per_second,
+                        after: Duration::from_millis(after_ms),
+                        received_at: self.callers.started.elapsed(),
+                        id,
+                    };
+                    self.checker
+                        .lock()
+                        .expect("not poisoned")
+                        .record_limited_call(&name, limit, call);
+                }
                 Line::Version(version) => {
                     entry.lock().expect("not poisoned").version = version;
                     self.write_entry(&name, &entry);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -15,6 +15,12 @@
 const MEAN_SERIES_GAP_MS: u64 = 1_500;
 /// Maximum number of faults in a series.
 const MAX_SERIES_FAULTS: u32 = 4;
+/// Mean time between two limits. Each lasts for five seconds.
+const MEAN_LIMIT_GAP_MS: u64 = 5_000;
+/// A limit that starts this long before the last fault ends has ended before the recovered system is checked.
+const LATEST_LIMIT_MS: u64 = 2_000;
+/// Number of the random sequence of the limits, which leaves the other faults of a seed as they are.
+const LIMIT_SEQUENCE: u64 = 1 << 63;
 /// Longest duration of a fault.
 const MAX_FAULT_MS: u64 = 5_000;
 
@@ -61,6 +67,8 @@
         StoreForgets,
         /// A server sends copies of answers, fragments of events, and bytes without end.
         Babble(usize),
+        /// A server names a limit for requests for some seconds.
+        Limit(usize),
         /// A new weights version is published.
         Weights,
         /// A new configuration replaces the key of the callers.
@@ -113,10 +121,26 @@
         }
         series_start += random.random_range(100..=2 * MEAN_SERIES_GAP_MS);
     }
+    events.extend(generate_limits(seed, shape, latest_end));
     events.sort_by_key(|event| event.start);
     events
 }
 
+fn generate_limits(seed: u64, shape: Shape, latest_end: u64) -> Vec<Event> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ LIMIT_SEQUENCE);
+    let mut start = to_millis(WARM_UP) + random.random_range(0..MEAN_LIMIT_GAP_MS / 2);
+    let mut events = Vec::new();
+    while start + LATEST_LIMIT_MS <= latest_end {
+        events.push(Event {
+            start: Duration::from_millis(start),
+            duration: Duration::ZERO,
+            fault: Fault::Limit(random.random_range(0..shape.servers)),
+        });
+        start += random.random_range(100..=2 * MEAN_LIMIT_GAP_MS);
+    }
+    events
+}
+
 /// Number of fault kinds that `draw_fault` can draw.
 const FAULT_KINDS: u32 = 14;
 
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -6,7 +6,7 @@
     answer::{EVENTS_PER_STREAM, answer_body, stream_event},
     call::Kind,
 };
-use jaystand_soak::check::{Checker, End, Ran, Sent};
+use jaystand_soak::check::{Checker, End, LimitedCall, Ran, Sent};
 
 fn sent(kind: Kind) -> Sent {
     Sent {
@@ -187,3 +187,53 @@
         ]
     );
 }
+
+fn limited_call(after_ms: u64, id: &str) -> LimitedCall {
+    LimitedCall {
+        per_second: 1.0,
+        after: Duration::from_millis(after_ms),
+        received_at: Duration::from_millis(10_000 + after_ms),
+        id: id.to_owned(),
+    }
+}
+
+/// Records the callers' requests of one gateway that arrive at a limited server, after `disturb`.
+fn limit_breaches(count: u64, disturb: impl Fn(&mut Checker)) -> usize {
+    let mut checker = Checker::default();
+    disturb(&mut checker);
+    for number in 0..count {
+        let id = format!("r-{number}");
+        checker.record_sent(&id, sent(Kind::Read));
+        checker.record_end(&id, answer(200, answer_body(&id), true));
+        let after = if number == 0 {
+            100
+        } else {
+            1_000 + number * 200
+        };
+        checker.record_limited_call("i-1", 1, limited_call(after, &id));
+    }
+    checker.breaches().len()
+}
+
+/// Guards against a check of limits that cannot fail, and one that holds a gateway to a limit that it does not know.
+#[test]
+fn calls_beyond_a_limit_are_reported() {
+    assert_eq!(
+        limit_breaches(12, |_| {}),
+        0,
+        "11 counted calls are allowed"
+    );
+    assert_eq!(limit_breaches(13, |_| {}), 1);
+    let disturbed = |checker: &mut Checker| {
+        let (since, until) = (Duration::from_secs(10), Duration::from_secs(11));
+        checker.record_disturbance(gateway(), since, until);
+    };
+    assert_eq!(limit_breaches(13, disturbed), 0);
+    let questions = |checker: &mut Checker| {
+        for number in 0..12 {
+            let call = limited_call(1_000 + number * 200, "");
+            checker.record_limited_call("i-2", 1, call);
+        }
+    };
+    assert_eq!(limit_breaches(1, questions), 1, "calls without an id count");
+}
