Keep the shares of hosts that fall silent in the retry budget

What callers saw: nothing; servers may get more retries than the deployment allows, when they are in need. Hosts divided the slack of the budget and the idle connections to a server among the hosts that they had heard in the last four seconds. In a cut each side took the shares of the others, although all hosts may reach the servers. Change: a silent host keeps its share for an hour, unless it has said that it stops. Not changed: a host that has just started and knows no other takes the whole slack until it hears of the others, within some tens of milliseconds; the pause of Retry-After is asked of one host, so each keeps it alone. Measured: a_cut_between_hosts_does_not_enlarge_the_budget failed with the shares of hosts heard within four seconds, and passes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -10,6 +10,9 @@
 
 use crate::ServiceName;
 
+/// A host that has fallen silent keeps its share for this long. It may be cut off from this host only, and still send
+/// retries of its callers.
+const SHARE_RETENTION: Duration = Duration::from_secs(60 * 60);
 /// Share of the budget that hosts use. The rest covers hosts that do not know yet that another host has joined, and
 /// so take too large a share.
 const USED_SHARE: f64 = 0.8;
@@ -26,6 +29,39 @@
     }
 }
 
+/// The other hosts that have a share of what the deployment allows all hosts together.
+#[derive(Clone, Debug)]
+pub struct Sharers<P> {
+    last_seen: HashMap<P, Moment>,
+}
+
+impl<P> Default for Sharers<P> {
+    fn default() -> Self {
+        Self {
+            last_seen: HashMap::new(),
+        }
+    }
+}
+
+impl<P: std::hash::Hash + Eq> Sharers<P> {
+    /// Records that a host was heard of.
+    pub fn record(&mut self, now: Moment, host: P) {
+        self.last_seen.insert(host, now);
+    }
+
+    /// Records that a host stops as planned.
+    pub fn remove(&mut self, host: &P) {
+        self.last_seen.remove(host);
+    }
+
+    /// Returns the number of hosts, and forgets those that have been silent for too long.
+    pub fn count(&mut self, now: Moment) -> usize {
+        self.last_seen
+            .retain(|_, seen| now.saturating_sub(*seen) < SHARE_RETENTION);
+        self.last_seen.len()
+    }
+}
+
 /// The requests and retries of this host, by service.
 #[derive(Clone, Debug)]
 pub struct Budget {
--- a/crates/dispatch/tests/state.rs
+++ b/crates/dispatch/tests/state.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use jaystand_dispatch::{
-    budget::{Budget, Settings},
+    budget::{Budget, Settings, Sharers},
     directory::{Change, Directory},
     health::{Health, Outcome},
     holdings::Holdings,
@@ -206,6 +206,40 @@
     assert!(retries.len() > 100, "the budget is of use");
 }
 
+/// Guards against hosts that each take the shares of those that they no longer hear: in a cut of four data centres, all
+/// hosts go on to send retries to the servers that they reach.
+#[test]
+fn a_cut_between_hosts_does_not_enlarge_the_budget() {
+    const HOSTS: u64 = 60;
+    const DATA_CENTRES: u64 = 4;
+    let service = "lm".into();
+    let mut hosts: Vec<(Budget, Sharers<u64>)> = (0..HOSTS)
+        .map(|_| (Budget::new(BUDGET), Sharers::default()))
+        .collect();
+    let mut retries = 0;
+    // Second 10 to 20 is in the cut, which begins at second 2. Each host sends one request a second.
+    for now in (0..20_000).step_by(200) {
+        for (number, (budget, sharers)) in (0..HOSTS).zip(&mut hosts) {
+            let is_heard =
+                |other: &u64| now < 2_000 || other % DATA_CENTRES == number % DATA_CENTRES;
+            for other in (0..HOSTS).filter(|other| *other != number).filter(is_heard) {
+                sharers.record(ms(now), other);
+            }
+            if now % 1_000 == 0 {
+                budget.record_request(ms(now), &service);
+            }
+            let share = sharers.count(ms(now)) + 1;
+            let sent = now >= 10_000 && budget.take_retry(ms(now), &service, share);
+            retries += u64::from(sent);
+        }
+    }
+    let requests = HOSTS * 10;
+    assert!(
+        retries <= requests / 5 + 52,
+        "{retries} retries in ten seconds"
+    );
+}
+
 /// Guards against a host that may retry nothing because it had no requests before.
 #[test]
 fn a_quiet_host_has_its_share_of_the_slack() {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -627,14 +627,14 @@
     /// Returns whether the request may be moved from the server that runs it to another one. Without retry budget,
     /// leaving the server would only lose its work.
     pub(crate) fn may_switch_server(&self) -> bool {
-        let (now, hosts) = (self.hub.now(), self.hub.host_count());
+        let (now, hosts) = (self.hub.now(), self.hub.share_count());
         let mut state = self.hub.state.borrow_mut();
         self.may_repeat() && state.budget.allows_retry(now, &self.service, hosts)
     }
 
     /// Takes one retry from the budget. Returns whether there was one.
     fn take_retry(&self) -> bool {
-        let (now, hosts) = (self.hub.now(), self.hub.host_count());
+        let (now, hosts) = (self.hub.now(), self.hub.share_count());
         let mut state = self.hub.state.borrow_mut();
         let allowed = state.budget.take_retry(now, &self.service, hosts);
         if !allowed {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,7 +18,7 @@
 };
 use jaystand_dispatch::{
     ServerKey,
-    budget::Budget,
+    budget::{Budget, Sharers},
     config::Configuration,
     directory::{Change, Directory},
     holdings::Holdings,
@@ -114,6 +114,8 @@
     pub(crate) versions: Versions,
     pub(crate) holdings: Holdings,
     pub(crate) budget: Budget,
+    /// The other hosts that share the retry budget and the connections to servers.
+    pub(crate) sharers: Sharers<IpAddr>,
     pub(crate) reach: Reach,
     /// Reachable stores of cached prompt parts.
     pub(crate) part_stores: Vec<PartStore>,
@@ -201,6 +203,7 @@
             versions: Versions::new(settings.weights),
             holdings: Holdings::default(),
             budget: Budget::new(settings.budget.clone()),
+            sharers: Sharers::default(),
             reach: Reach::default(),
             part_stores: Vec::new(),
             peers: Peers::default(),
@@ -577,7 +580,7 @@
     /// Returns how many idle connections this host may keep to a server: half of its share of the connections that the
     /// server accepts from all hosts together.
     fn max_idle_connections(&self, server: ServerKey) -> usize {
-        let hosts = self.host_count();
+        let hosts = self.share_count();
         let state = self.state.borrow();
         let service = state.directory.get(server).and_then(|server| {
             let config = state.config.as_ref()?;
@@ -595,7 +598,12 @@
         config.map_or(0, |config| config.limits().body_bytes)
     }
 
-    /// Returns the number of hosts that share the retry budget, this one included.
+    /// Returns the number of hosts that share the retry budget and the connections to servers, this one included.
+    pub(crate) fn share_count(&self) -> usize {
+        self.state.borrow_mut().sharers.count(self.now()) + 1
+    }
+
+    /// Returns the number of live hosts, this one included.
     pub(crate) fn host_count(&self) -> usize {
         let state = self.state.borrow();
         state.hosts.len().max(state.peers.len()) + 1
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -642,11 +642,17 @@
                 ..Host::default()
             };
             state.hosts.insert(address, named);
+            state.sharers.record(now, address);
             if group.data_centre == settings.data_centre {
                 relays.record_contact(now, address, link);
             }
         }
     }
+    if report.stopping {
+        state.sharers.remove(&from);
+    } else {
+        state.sharers.record(now, from);
+    }
     if report.stopping {
         relays.remove(from);
     } else if report.data_centre == settings.data_centre {
