Accept the comments of a server in streams that the soak checks

Cause: the check was wrong. A server in trouble sends comment lines for two seconds and then its events. Usually the request has gone elsewhere by then; if that was its last attempt, the gateway passes the stream on as the server sent it, and the check compared the comments with the first event. Change: lines that begin with a colon are no part of an event. Everything else is compared to the byte as before, and the report shows the text of the event. Measured: comments_are_no_part_of_an_event failed before, and finds another line and a doubled event beside comments.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -234,7 +234,9 @@
                     }
                     let fault = match kind {
                         Some(Kind::Stream) => stream_fault(id, body, *complete),
-                        _ if *complete && *body != answer_body(id) => Some("another body"),
+                        _ if *complete && *body != answer_body(id) => {
+                            Some("another body".to_owned())
+                        }
                         _ => None,
                     };
                     if let Some(fault) = fault {
@@ -317,18 +319,25 @@
     }
 }
 
+/// Returns the lines of an event without comments, which a server in trouble may send before it.
+fn without_comments(event: &str) -> impl Iterator<Item = &str> {
+    event.split('\n').filter(|line| !line.starts_with(':'))
+}
+
 /// Returns what is wrong with the events of a stream, if anything.
-fn stream_fault(id: &str, body: &str, complete: bool) -> Option<&'static str> {
+fn stream_fault(id: &str, body: &str, complete: bool) -> Option<String> {
     let mut rest = body;
     let mut number = 0;
     while let Some(end) = rest.find("\n\n") {
         number += 1;
         let (event, after) = rest.split_at(end + 2);
-        if event != stream_event(id, number) {
-            return Some("an event is missing, doubled or another's");
+        if !without_comments(event).eq(stream_event(id, number).split('\n')) {
+            return Some(format!(
+                "event {number} is missing, doubled or another's: {event:?}"
+            ));
         }
         rest = after;
     }
     (complete && (number != EVENTS_PER_STREAM || !rest.is_empty()))
-        .then_some("the stream ends early as complete")
+        .then(|| "the stream ends early as complete".to_owned())
 }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -237,3 +237,19 @@
     };
     assert_eq!(limit_breaches(1, questions), 1, "calls without an id count");
 }
+
+/// Guards against a check that reports the comments of a server as a fault of the stream, or misses a fault beside them.
+#[test]
+fn comments_are_no_part_of_an_event() {
+    let body = events(1..=EVENTS_PER_STREAM);
+    let with_comments = format!(": c\n: c\n{body}");
+    let end = |body: &str| answer(200, body.to_owned(), true);
+    assert!(broken_promises(Kind::Stream, &[], end(&with_comments)).is_empty());
+    let other_line = format!("data: x\n{body}");
+    assert_eq!(
+        broken_promises(Kind::Stream, &[], end(&other_line)).len(),
+        1
+    );
+    let doubled = format!(": c\n{}{body}", stream_event("r", 1));
+    assert_eq!(broken_promises(Kind::Stream, &[], end(&doubled)).len(), 1);
+}
