--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -139,6 +139,11 @@
         start <= now && now < end
     }
 
+    /// Suspends a host, which keeps what it knows.
+    fn suspend(&mut self, now: Moment, host: usize, pause: Duration) {
+        self.runs[host] = (now + pause, Moment::MAX);
+    }
+
     /// Replaces a host by one that starts later and knows nothing.
     fn restart(&mut self, now: Moment, host: usize, pause: Duration) {
         self.runs[host] = (now + pause, Moment::MAX);
@@ -259,10 +264,10 @@
     }
 }
 
-/// Guards against limits that are exceeded or not used while hosts are killed and start again, and know each other from
-/// lists of different ages.
+/// Guards against limits that are exceeded or not used while hosts are killed and start again, freeze, and know each
+/// other from lists of different ages.
 #[test]
-fn a_limit_holds_while_hosts_restart_and_their_lists_differ() {
+fn a_limit_holds_while_hosts_restart_or_freeze_and_their_lists_differ() {
     const HOSTS: usize = 60;
     const LIMIT: f64 = 1.3;
     for seed in 1..=3 {
@@ -276,7 +281,11 @@
             for _ in 0..3 {
                 let host = fleet.random.random_range(0..HOSTS);
                 let pause = ms(fleet.random.random_range(500..4_000));
-                fleet.restart(ms(second * 1_000), host, pause);
+                if fleet.random.random_bool(0.5) {
+                    fleet.restart(ms(second * 1_000), host, pause);
+                } else {
+                    fleet.suspend(ms(second * 1_000), host, pause);
+                }
             }
             fleet.run(
                 ms(second * 1_000),
