Leave no debt for orders of a host without a share

What callers saw: nothing; a host that had ordered without a share and then got one sent no request to the server for seconds. Cause: orders took permits that the host did not have. Change: orders take permits of a share only if there is one. Measured: a_host_without_a_share_sends_an_order_and_its_report failed with a request after the host got its share, and passes.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -174,7 +174,10 @@
     /// Uses a permit for a call that is sent now.
     pub(crate) fn take(&mut self, now: Moment, call: Call) {
         self.refill(now);
-        self.permits -= 1.0;
+        // A host without a share has no permits to lose, and gets no debt for a later share.
+        if self.share.is_some() {
+            self.permits -= 1.0;
+        }
         if matches!(call, Call::Report | Call::Order) {
             self.order_permits -= 1.0;
         }
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -422,6 +422,8 @@
     assert!(!take(1_000, Call::Report));
     assert!(take(2_100, Call::Report));
     assert!(!take(2_100, Call::CacheEvents));
+    directory.set_fleet(ms(2_200), limit::Fleet::new(Some(1), vec![]));
+    assert!(directory.take_call(ms(3_300), key, Call::Request));
 }
 
 /// Guards against a pause that a limit overrides, and against requests to a leaving server that limits requests.
