Count the hosts that share the budget without a scan for each request

Cause: each request asked two or three times how many hosts share the retry budget, and each time all of them were looked through for silent ones: 300 entries on the largest deployment, on the request path. Change: silent hosts are forgotten when reports are sent, five times a second; the count is the size of the map.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -54,10 +54,15 @@
         self.last_seen.remove(host);
     }
 
-    /// Returns the number of hosts, and forgets those that have been silent for too long.
-    pub fn count(&mut self, now: Moment) -> usize {
+    /// Forgets the hosts that have been silent for too long.
+    pub fn expire(&mut self, now: Moment) {
         self.last_seen
             .retain(|_, seen| now.saturating_sub(*seen) < SHARE_RETENTION);
+    }
+
+    /// Returns the number of hosts.
+    #[must_use]
+    pub fn count(&self) -> usize {
         self.last_seen.len()
     }
 }
--- a/crates/dispatch/tests/state.rs
+++ b/crates/dispatch/tests/state.rs
@@ -228,7 +228,8 @@
             if now % 1_000 == 0 {
                 budget.record_request(ms(now), &service);
             }
-            let share = sharers.count(ms(now)) + 1;
+            sharers.expire(ms(now));
+            let share = sharers.count() + 1;
             let sent = now >= 10_000 && budget.take_retry(ms(now), &service, share);
             retries += u64::from(sent);
         }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -600,7 +600,7 @@
 
     /// Returns the number of hosts that share the retry budget and the connections to servers, this one included.
     pub(crate) fn share_count(&self) -> usize {
-        self.state.borrow_mut().sharers.count(self.now()) + 1
+        self.state.borrow().sharers.count() + 1
     }
 
     /// Returns the number of live hosts, this one included.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -327,6 +327,7 @@
         .hosts
         .retain(|_, host| now.saturating_sub(host.last_seen) < HOST_EXPIRY);
     let hosts = state.hosts.len();
+    state.sharers.expire(now);
     state.peers.expire(now, hosts);
     hub.metrics
         .peers
