Use one comparison of disturbances in the soak's checks

Cause: the check of limits looked for disturbances of a gateway beside the check of lost answers, with bounds of its own. Change: both call is_undisturbed, with the bounds of the older one, so that a disturbance that ends exactly when the limit begins no longer excuses a gateway.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -298,23 +298,19 @@
         exceeds.then(|| format!("{most} calls in 4 s at {per_second} a second"))
     }
 
-    /// Returns whether a gateway was neither stopped, paused nor killed in some time.
+    /// Returns whether a gateway was neither stopped, paused nor killed between two times.
     fn is_undisturbed(&self, gateway: SocketAddr, from: Duration, to: Duration) -> bool {
         let mut disturbances = self.disturbances.iter();
-        !disturbances
-            .any(|(other, since, until)| *other == gateway && *since <= to && from <= *until)
+        !disturbances.any(|(other, since, until)| *other == gateway && *since < to && from < *until)
     }
 
     /// Returns whether the gateway of a request was neither stopped, paused nor killed while the request could be in
     /// flight.
     fn was_undisturbed(&self, id: &str) -> bool {
         self.sent.get(id).is_some_and(|sent| {
-            let overlaps = |since, until| {
-                sent.sent_at < until + MAX_REQUEST_TIME && since < sent.sent_at + MAX_REQUEST_TIME
-            };
-            let mut disturbances = self.disturbances.iter();
-            !disturbances
-                .any(|(gateway, since, until)| *gateway == sent.gateway && overlaps(*since, *until))
+            let from = sent.sent_at.saturating_sub(MAX_REQUEST_TIME);
+            let to = sent.sent_at.saturating_add(MAX_REQUEST_TIME);
+            self.is_undisturbed(sent.gateway, from, to)
         })
     }
 }
