Say what becomes of settings with errors

Cause: the comment called the values that stand in for faulty ones placeholders, which reads like unfinished code. Nothing is unfinished: the check goes on to report every error, and the settings are discarded. Change: the comment.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -228,8 +228,8 @@
     raw::defaults()
 }
 
-/// Converts raw settings to checked ones and collects the errors. A faulty value is replaced by a placeholder, so that
-/// the check goes on.
+/// Converts raw settings to checked ones and collects the errors of all values. The settings are discarded if there is
+/// one.
 struct Checker {
     file: String,
     faults: Vec<Fault>,
