Decide in dispatch which answers end a limit

Cause: the gateway's hub decided that late answers and answers to the host's own calls do not end a limit; decisions belong to dispatch, where they are tested without sockets. Change: Limit::proven_by, with a test; the hub passes what the answer belongs to. Thousandths have one constant. Behaviour stays.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -27,7 +27,7 @@
 const EXPIRY_REQUESTS: f64 = 3.0;
 
 /// Thousandths of a request in a request.
-const MILLIS: f64 = 1_000.0;
+const MILLIS: u32 = 1_000;
 
 jaystand_types::common! { value
     /// A positive number of requests a second, in thousandths.
@@ -50,6 +50,30 @@
     }
 }
 
+jaystand_types::common! { value
+    /// What an answer belongs to.
+    pub enum Origin {
+        /// The caller's request that was sent.
+        Request,
+        /// No request that it names, such as a call of the host itself.
+        Unnamed,
+        /// An earlier request.
+        EarlierRequest,
+    }
+}
+
+impl Limit {
+    /// Returns what the limit in an answer proves. Only answers to callers' requests are known to name every limit, and
+    /// the limit in a late answer may have changed since.
+    #[must_use]
+    pub fn proven_by(self, origin: Origin) -> Self {
+        match (origin, self) {
+            (Origin::EarlierRequest, _) | (Origin::Unnamed, Self::None) => Self::Unstated,
+            (Origin::Request | Origin::Unnamed, limit) => limit,
+        }
+    }
+}
+
 jaystand_types::common! { value
     /// The purpose of a call to a server. Each call counts towards the server's limit.
     pub enum Call {
@@ -234,7 +258,7 @@
     /// Returns the rate in requests a second.
     #[must_use]
     pub fn per_second(self) -> f64 {
-        f64::from(self.0) / MILLIS
+        f64::from(self.0) / f64::from(MILLIS)
     }
 
     /// Returns the rate in thousandths of a request a second.
@@ -257,7 +281,7 @@
     /// Returns the number of shares of a limit: one for each request a second, so that the requests that all hosts
     /// have saved up are those of about a second.
     fn shares(self) -> u32 {
-        self.0.div_ceil(1_000).max(MIN_SHARES)
+        self.0.div_ceil(MILLIS).max(MIN_SHARES)
     }
 }
 
@@ -273,7 +297,7 @@
     )]
     fn try_from(per_second: f64) -> Result<Self, OutOfRange> {
         if per_second.is_finite() && per_second > 0.0 {
-            Ok(Self((per_second * MILLIS).ceil() as u32))
+            Ok(Self((per_second * f64::from(MILLIS)).ceil() as u32))
         } else {
             Err(OutOfRange(per_second))
         }
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -108,7 +108,7 @@
         self.quota.as_ref().map(Quota::rate)
     }
 
-    /// Returns whether a pause or the limit allows a call.
+    /// Returns whether pause and limit allow a call.
     pub(crate) fn allows(&self, now: Moment, call: Call) -> bool {
         let limited = self.quota.as_ref();
         self.paused_until(now).is_none() && limited.is_none_or(|quota| quota.allows(now, call))
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -7,7 +7,7 @@
 use jaystand_dispatch::{
     ServerKey,
     directory::Directory,
-    limit::{self, Call, Limit, Rate, Statement},
+    limit::{self, Call, Limit, Origin, Rate, Statement},
     notice::{LimitChange, Notice, Pause},
     prompt::mix,
     report::{MAX_BRIEF_RECEIVERS, PERIOD},
@@ -445,3 +445,15 @@
     directory.mark_leaving(key);
     assert!(!directory.get(key).expect("known").takes_work());
 }
+
+/// Guards against a limit that ends with an answer that need not name it, or that a late answer restores.
+#[test]
+fn only_answers_to_requests_prove_that_a_limit_has_ended() {
+    let named = Limit::PerSecond(rate(1.3));
+    assert_eq!(Limit::None.proven_by(Origin::Request), Limit::None);
+    assert_eq!(Limit::None.proven_by(Origin::Unnamed), Limit::Unstated);
+    assert_eq!(named.proven_by(Origin::Unnamed), named);
+    for limit in [Limit::None, named, Limit::Invalid] {
+        assert_eq!(limit.proven_by(Origin::EarlierRequest), Limit::Unstated);
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -395,13 +395,18 @@
         self.record_contact(server);
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &self.id);
+        let origin = match head.identity {
+            Identity::Matching => limit::Origin::Request,
+            Identity::Missing => limit::Origin::Unnamed,
+            Identity::Other => limit::Origin::EarlierRequest,
+        };
         // Also done for a late answer to an earlier request: its head describes the server as well.
         self.hub.observe_response_head(
             server,
             &self.server_name,
             parts.status,
             &parts.headers,
-            head.identity,
+            origin,
         );
         match self.check_answer(server, &head, pooled.reused) {
             Verdict::Forward => {}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,10 +12,7 @@
 use compact_str::CompactString;
 use hashbrown::{HashMap, HashSet};
 use http::{HeaderMap, StatusCode};
-use jaystand_adapter::{
-    entry,
-    response::{self, Identity},
-};
+use jaystand_adapter::{entry, response};
 use jaystand_dispatch::{
     ServerKey,
     budget::{Budget, Sharers},
@@ -23,7 +20,7 @@
     directory::{Change, Directory},
     holdings::Holdings,
     lease::Record,
-    limit::{Call, Limit},
+    limit::{Call, Origin},
     load::Peers,
     notice::LimitChange,
     placement::Store as PartStore,
@@ -399,18 +396,13 @@
         name: &str,
         status: StatusCode,
         headers: &HeaderMap,
-        identity: Identity,
+        origin: Origin,
     ) {
         if response::is_from_other_server(headers, name) {
             return;
         }
         let mut notice = response::notice(status, headers);
-        let is_late = identity == Identity::Other;
-        // Only an answer to a caller's request proves that the limit has ended.
-        let proves_no_end = identity == Identity::Missing && notice.limit == Limit::None;
-        if is_late || proves_no_end {
-            notice.limit = Limit::Unstated;
-        }
+        notice.limit = notice.limit.proven_by(origin);
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let learned = state.directory.observe_notice(now, key, notice);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,11 +6,12 @@
 use hashbrown::{HashMap, HashSet};
 use http::{Request, Uri};
 use http_body_util::Full;
-use jaystand_adapter::{
-    engine::{self, CacheEvents},
-    response::Identity,
+use jaystand_adapter::engine::{self, CacheEvents};
+use jaystand_dispatch::{
+    ServerKey,
+    limit::{Call, Origin},
+    prompt,
 };
-use jaystand_dispatch::{ServerKey, limit::Call, prompt};
 use jaystand_types::ServerName;
 use tokio::{
     task::JoinHandle,
@@ -150,7 +151,7 @@
         .await
         .map_err(|_| link::Error::Timeout)??;
     let status = answer.status();
-    hub.observe_response_head(server, name, status, answer.headers(), Identity::Missing);
+    hub.observe_response_head(server, name, status, answer.headers(), Origin::Unnamed);
     let body = answer.into_body().ok_or(link::Error::Timeout)?;
     if open.wait_reusable().await {
         *connection = Some(open);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -5,16 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
-use jaystand_adapter::{
-    engine::{self, Order, Reply, Report},
-    response::Identity,
-};
+use jaystand_adapter::engine::{self, Order, Reply, Report};
 use jaystand_dispatch::{
     ServerKey,
     directory::Server,
     health::Outcome,
     lease::{Lease, Step, Written},
-    limit::Call,
+    limit::{Call, Origin},
     weights::{self, Update},
 };
 use tokio::time::{Instant, sleep, timeout};
@@ -477,7 +474,7 @@
     {
         Ok(Ok(answer)) => {
             let status = answer.status();
-            hub.observe_response_head(server, name, status, answer.headers(), Identity::Missing);
+            hub.observe_response_head(server, name, status, answer.headers(), Origin::Unnamed);
             let body = answer.into_body();
             if body.is_some() {
                 hub.return_connection(pooled, None).await;
