Log the store's era and what a read of the lease returns

Cause: the log showed conditional writes that conflict, but neither the era in which the store answered nor what the read between two writes returned, so that a lease that is gone could not be told from one that another host holds. Change: one line when an answer names another era, one line for each read of the lease, the gauge jaystand_store_era. No logic was changed.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) dropped_lines: IntCounter,
     /// Panics of the process's tasks, which started again.
     pub(crate) panics: IntCounter,
+    /// Era that the store names; 0 while it names none.
+    pub(crate) store_era: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
     /// Known servers.
@@ -117,6 +119,10 @@
                 "jaystand_suspected_parts",
                 "Prompt parts that are suspected to crash servers.",
             )?,
+            store_era: gauge(
+                "jaystand_store_era",
+                "Era of the store; it rises when the store comes back from an older copy.",
+            )?,
             config_version: gauge("jaystand_config_version", "Configuration in force.")?,
             servers: gauge("jaystand_servers", "Known backend servers.")?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -10,10 +10,11 @@
     ServerKey,
     directory::Server,
     health::Outcome,
-    lease::{Lease, Step, Written},
+    lease::{Lease, Record, Step, Written},
     limit::{Call, Origin},
     weights::{self, Update},
 };
+use jaystand_types::Version;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -110,7 +111,10 @@
         Step::Wait => return,
         Step::Read => {
             match hub.store.read_lease(&hub.metrics).await {
-                Ok(object) => lease.borrow_mut().observe(clock::since_boot(), object),
+                Ok(object) => {
+                    log_read_lease(object.as_ref());
+                    lease.borrow_mut().observe(clock::since_boot(), object);
+                }
                 Err(error) => log::info!("the lease on weight orders cannot be read: {error}"),
             }
             return;
@@ -134,6 +138,16 @@
     log::info!(fence = record.fence, renewal = record.renewal, rank, result; "lease on weight orders written");
 }
 
+fn log_read_lease(object: Option<&(Version, Record)>) {
+    match object {
+        Some((revision, record)) => {
+            log::info!(revision, holder = record.holder.as_str(), fence = record.fence, renewal = record.renewal;
+                "lease on weight orders read");
+        }
+        None => log::info!("lease on weight orders read: the store has none"),
+    }
+}
+
 /// Releases the lease if this process holds it.
 async fn release_lease(hub: &Rc<Hub>, lease: &RefCell<Lease>) {
     let step = lease.borrow_mut().release(clock::since_boot());
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,13 +1,17 @@
 //! Client of the platform's object store.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use jaystand_adapter::store::{self, Call, Changes, Page, Verdict};
 use jaystand_dispatch::lease::{Record, Written};
-use jaystand_types::Version;
+use jaystand_types::{Era, Version};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -53,6 +57,8 @@
 pub(crate) struct Store {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
+    /// The era that the last answer named.
+    era: Cell<Option<Era>>,
 }
 
 impl Store {
@@ -60,6 +66,7 @@
         Self {
             address,
             idle: RefCell::default(),
+            era: Cell::default(),
         }
     }
 
@@ -180,7 +187,7 @@
         call: &Call,
         time_limit: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
-        let result = self.call(call, time_limit).await;
+        let result = self.call(metrics, call, time_limit).await;
         let label = match &result {
             Ok((status, _)) => status.as_str().to_owned(),
             Err(Error::Refused) => "not_sent".to_owned(),
@@ -191,7 +198,12 @@
     }
 
     /// Sends a call once and reads the whole answer.
-    async fn call(&self, call: &Call, time_limit: Duration) -> Result<(StatusCode, Bytes), Error> {
+    async fn call(
+        &self,
+        metrics: &Metrics,
+        call: &Call,
+        time_limit: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
         let mut connection = self.open().await?;
         let exchange = async {
             let answer = connection
@@ -201,6 +213,7 @@
                 link::Error::NotSent => Error::Refused,
                 link::Error::Broken(_) | link::Error::Timeout => Error::Unknown,
             })?;
+            self.observe_era(metrics, call, answer.headers());
             let status = answer.status();
             Ok((status, answer.into_body().ok_or(Error::Unknown)?))
         };
@@ -224,6 +237,25 @@
         }
     }
 
+    /// Records the era that an answer names.
+    fn observe_era(&self, metrics: &Metrics, call: &Call, headers: &HeaderMap) {
+        let named = match store::era(headers) {
+            Ok(named) => named,
+            Err(error) => {
+                log::warn!(call = call.path.as_str(); "the store's era cannot be read: {error}");
+                return;
+            }
+        };
+        let former = self.era.replace(named);
+        if named != former {
+            log::warn!(era:? = named, former:? = former, call = call.path.as_str(); "the store names another era");
+            let era = named.unwrap_or_default();
+            metrics
+                .store_era
+                .set(i64::try_from(era).unwrap_or(i64::MAX));
+        }
+    }
+
     async fn open(&self) -> Result<Connection, Error> {
         while let Some(connection) = self.pop_idle() {
             if connection.is_ready() {
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -22,6 +22,8 @@
 pub type RequestId = u64;
 /// Version of an object or of the configuration; greater is newer.
 pub type Version = u64;
+/// Era of the platform's store. It rises by one each time the store comes back from an older copy.
+pub type Era = u64;
 /// Random identity of one run of a process; it differs between runs.
 pub type Incarnation = u64;
 /// Time since the start of the process, from a monotonic clock.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,8 +8,8 @@
 mod secret;
 
 pub use id::{
-    DataCentre, HostName, Incarnation, KindName, Model, Moment, RequestId, ServerId, ServerName,
-    TeamId, Version, parse_request_id, render_request_id,
+    DataCentre, Era, HostName, Incarnation, KindName, Model, Moment, RequestId, ServerId,
+    ServerName, TeamId, Version, parse_request_id, render_request_id,
 };
 pub use outcome::{Outcome, RepeatRule, UnknownName, Urgency};
 pub use secret::Secret;
