Compare revisions of the store within one era only

Cause: hosts kept revisions as plain numbers. After a restore the store gives them out again, so that a watch went on from a number that it takes for its own, and a host whose number was greater counted as better informed. Evidence: changes_after_a_restore_are_in_force_although_watches_outlive_it failed before. Change: answers of the store carry their era; a revision has one, no order, and supersedes another by era first.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod proof;
 pub mod reach;
 pub mod report;
+pub mod revision;
 pub mod source;
 pub mod suspicion;
 pub mod weights;
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use http_body_util::Full;
-use jaystand_dispatch::{source::Source, weights::Age};
-use jaystand_types::{Model, Moment, ServerName, Version};
+use jaystand_dispatch::{revision::Revision, source::Source, weights::Age};
+use jaystand_types::{Era, Model, Moment, ServerName, Version};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::TcpListener,
@@ -49,6 +49,12 @@
     connected: bool,
     /// Whether the contents hold all server entries, not only the changed ones.
     complete: bool,
+    /// The latest known era of the store.
+    #[serde(default)]
+    era: Era,
+    /// Era of the next two revisions; 0 from hosts that do not know of eras.
+    #[serde(default)]
+    servers_era: Era,
     servers_revision: Version,
     servers_changed: Version,
     removed: Vec<ServerName>,
@@ -72,6 +78,16 @@
     after_ms: i64,
 }
 
+impl Head {
+    fn revision(&self) -> Revision {
+        Revision::new(self.servers_era, self.servers_revision)
+    }
+
+    fn changed(&self) -> Revision {
+        Revision::new(self.servers_era, self.servers_changed)
+    }
+}
+
 /// A follower's query for the changes after a number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Query {
@@ -172,8 +188,10 @@
         change: entries.newest_change(),
         connected: state.is_connected_within(now, MAX_STORE_OUTAGE) && !hub.is_stopping(),
         complete,
-        servers_revision: state.servers_feed.revision,
-        servers_changed: state.servers_feed.changed,
+        era: hub.store.era(),
+        servers_era: state.servers_feed.revision.era(),
+        servers_revision: state.servers_feed.revision.number(),
+        servers_changed: state.servers_feed.newest_change_in_era(),
         removed: if complete {
             Vec::new()
         } else {
@@ -279,7 +297,8 @@
 
 /// Returns whether a copy lacks changes of servers that this host knows.
 fn is_behind(hub: &Hub, head: &Head) -> bool {
-    head.servers_changed < hub.state.borrow().servers_feed.changed
+    let known = hub.state.borrow().servers_feed.changed;
+    known.supersedes(head.changed())
 }
 
 /// Records that this host is in touch with the store, since the followed host is.
@@ -289,9 +308,7 @@
         hub.state.borrow_mut().feed(kind).loaded = true;
     }
     let mut state = hub.state.borrow_mut();
-    let feed = &mut state.servers_feed;
-    feed.revision = feed.revision.max(head.servers_revision);
-    feed.changed = feed.changed.max(head.servers_changed);
+    state.servers_feed.advance(head.revision(), head.changed());
 }
 
 /// Fetches a complete copy from a host and applies its configuration and weights. Applies its servers only if this host
@@ -304,7 +321,7 @@
         let feed = &hub.state.borrow().servers_feed;
         (feed.is_connected(), feed.revision)
     };
-    let apply_servers = !connected && head.servers_revision > known;
+    let apply_servers = !connected && head.revision().supersedes(known);
     if !apply_servers {
         contents.servers.clear();
     }
@@ -314,7 +331,7 @@
     };
     apply_copy(hub, &head, &contents, asked_at, "peer");
     if apply_servers {
-        hub.state.borrow_mut().servers_feed.revision = head.servers_revision;
+        hub.state.borrow_mut().servers_feed.revision = head.revision();
     }
     Ok(())
 }
@@ -358,6 +375,7 @@
 }
 
 fn apply_copy(hub: &Hub, head: &Head, contents: &Contents, asked_at: Moment, source: &str) {
+    hub.learn_era(head.era);
     if let Some(config) = &contents.config {
         hub.adopt_config(config, source);
     }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,8 +6,8 @@
     entry,
     store::{Change, Object, Page},
 };
-use jaystand_dispatch::source::Source;
-use jaystand_types::{Moment, Version};
+use jaystand_dispatch::{revision::Revision, source::Source};
+use jaystand_types::Moment;
 use rand::RngExt as _;
 use tokio::time::sleep;
 
@@ -24,6 +24,9 @@
 /// The list after a failed watch is confirmed by a second list after this time.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(1_200);
 const FIRST_BACKOFF: Duration = Duration::from_millis(60);
+/// A host of the fleet asks for the store's era this often, whichever hosts are awake: a watch may wait on for a revision
+/// that is given out again. A change of the configuration must be in force within two seconds.
+const ERA_CHECK_PERIOD: Duration = Duration::from_millis(800);
 /// Longest pause between calls to a store that does not answer. It bounds how late the store's return is noticed; a
 /// change of the configuration must be in force within two seconds.
 const MAX_BACKOFF: Duration = Duration::from_millis(900);
@@ -61,7 +64,7 @@
 
 /// Follows the store. After a failed watch it lists, and lists a second time a little later: while a store loses its
 /// history, a new watch may miss the changes that are made meanwhile.
-async fn follow_store(hub: &Rc<Hub>, kind: Kind, mut listed: Option<Version>) {
+async fn follow_store(hub: &Rc<Hub>, kind: Kind, mut listed: Option<Revision>) {
     // The list that a host makes at its start is some time old when the first watch begins, so it is confirmed as well.
     let mut must_confirm = listed.is_some();
     loop {
@@ -83,7 +86,7 @@
 
 /// Reads and applies one page of a kind, or the whole list if there are more pages and the kind isn't servers. Returns
 /// the revision if all objects were read.
-async fn list_at_start(hub: &Rc<Hub>, kind: Kind) -> Option<Version> {
+async fn list_at_start(hub: &Rc<Hub>, kind: Kind) -> Option<Revision> {
     let (page, asked_at, _) = call_until_answered(hub, kind, async || {
         hub.store.page(&hub.metrics, kind.store_kind(), None).await
     })
@@ -105,7 +108,7 @@
 }
 
 /// Lists until the store answers, and applies the list. Returns its revision, and whether calls failed before.
-async fn list(hub: &Rc<Hub>, kind: Kind) -> (Version, bool) {
+async fn list(hub: &Rc<Hub>, kind: Kind) -> (Revision, bool) {
     let (page, asked_at, failed) = call_until_answered(hub, kind, async || {
         hub.store.list(&hub.metrics, kind.store_kind()).await
     })
@@ -127,6 +130,7 @@
         let asked_at = clock::since_boot();
         match call().await {
             Ok(page) => {
+                hub.enter_era();
                 hub.record_store_answer(kind, true);
                 if page.unreadable > 0 {
                     log::warn!(feed = kind.as_str(), unreadable = page.unreadable;
@@ -145,7 +149,7 @@
 }
 
 /// Watches and applies changes until another list is needed. Returns whether a failure is the reason.
-async fn watch(hub: &Rc<Hub>, kind: Kind, mut revision: Version, first_wait: Duration) -> bool {
+async fn watch(hub: &Rc<Hub>, kind: Kind, mut revision: Revision, first_wait: Duration) -> bool {
     let mut wait = first_wait;
     loop {
         let watch = hub
@@ -154,7 +158,7 @@
         let changes = tokio::select! {
             changes = watch => changes,
             () = hub.relist_servers.notified(), if kind == Kind::Servers => {
-                log::warn!(feed = kind.as_str(), revision; "another host knows newer servers; listing again");
+                log::warn!(feed = kind.as_str(), revision = revision.number(); "another host knows newer servers; listing again");
                 return true;
             }
         };
@@ -178,7 +182,12 @@
                 }
             }
             Err(Error::HistoryGone) => {
-                log::info!(feed = kind.as_str(), revision; "the history of this watch is gone; listing again");
+                log::info!(feed = kind.as_str(), revision = revision.number(); "the history of this watch is gone; listing again");
+                return true;
+            }
+            Err(Error::OtherEra) => {
+                log::info!(feed = kind.as_str(), revision = revision.number(), era = revision.era();
+                    "the store came back from an older copy; listing again");
                 return true;
             }
             Err(error) => {
@@ -207,11 +216,13 @@
 fn record_newest_change(hub: &Hub, kind: Kind, object: &Object) {
     let mut state = hub.state.borrow_mut();
     let feed = state.feed(kind);
-    feed.changed = feed.changed.max(object.revision);
+    if object.revision.supersedes(feed.changed) {
+        feed.changed = object.revision;
+    }
 }
 
 /// Applies a complete list of one kind.
-fn adopt_list(hub: &Hub, kind: Kind, objects: &[Object], revision: Version, asked_at: Moment) {
+fn adopt_list(hub: &Hub, kind: Kind, objects: &[Object], revision: Revision, asked_at: Moment) {
     match kind {
         Kind::Servers => {
             hub.replace_servers(objects.iter().map(|object| (&object.name, &*object.value)));
@@ -242,6 +253,22 @@
     }
 }
 
+/// Asks for the store's era now and then while this host follows the store.
+pub(crate) async fn check_era(hub: Rc<Hub>) {
+    loop {
+        let hosts = u32::try_from(hub.count_store_followers()).unwrap_or(u32::MAX);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        sleep(ERA_CHECK_PERIOD.saturating_mul(hosts).mul_f64(jitter)).await;
+        if *hub.source.borrow() != Source::Store {
+            continue;
+        }
+        if let Err(error) = hub.store.check_era(&hub.metrics).await {
+            log::debug!("the store's era cannot be checked: {error}");
+        }
+        hub.enter_era();
+    }
+}
+
 /// Reads the configuration periodically, so that revoked keys are not accepted any more. A silent watch doesn't show
 /// that the configuration is still the newest.
 pub(crate) async fn confirm_config(hub: Rc<Hub>, period: Duration) {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -27,12 +27,13 @@
     prompt,
     proof::Proof,
     reach::Reach,
+    revision::Revision,
     source::{self, Relays, Source},
     suspicion::Suspicions,
     weights::{Age, Versions},
 };
 use jaystand_kernel::timer::Timer;
-use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
+use jaystand_types::{DataCentre, Era, Model, Moment, ServerName, Version};
 use serde_json::value::RawValue;
 use tokio::sync::{Notify, watch};
 
@@ -100,6 +101,8 @@
 
 /// What this host knows of the fleet: configuration, servers, weights and other hosts.
 pub(crate) struct State {
+    /// The era of the store that this state takes into account; 0 while none is known.
+    pub(crate) era: Era,
     pub(crate) config: Option<Arc<Configuration>>,
     /// The document of the configuration in force, as it was received.
     pub(crate) config_text: Option<Rc<RawValue>>,
@@ -137,8 +140,8 @@
 pub(crate) struct Host {
     pub(crate) last_seen: Moment,
     pub(crate) config_version: Version,
-    pub(crate) servers_revision: Version,
-    pub(crate) servers_changed: Version,
+    pub(crate) servers_revision: Revision,
+    pub(crate) servers_changed: Revision,
     pub(crate) connected: bool,
     /// The run of its process; `None` until the host itself has reported.
     pub(crate) incarnation: Option<u64>,
@@ -153,9 +156,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Feed {
     /// Revision of the store up to which changes are known.
-    pub(crate) revision: Version,
+    pub(crate) revision: Revision,
     /// Revision of the newest change of an object. Unlike `revision` it can be compared between hosts.
-    pub(crate) changed: Version,
+    pub(crate) changed: Revision,
     /// Since when the store does not answer; `None` while it does.
     pub(crate) lost_since: Option<Moment>,
     /// Whether a complete list, or an answer of the followed host, has been received.
@@ -180,6 +183,22 @@
 }
 
 impl Feed {
+    /// Returns the number of the newest change, or 0 if the list of the present era has not arrived or is empty.
+    pub(crate) fn newest_change_in_era(&self) -> Version {
+        let is_of_era = self.changed.era() == self.revision.era();
+        if is_of_era { self.changed.number() } else { 0 }
+    }
+
+    /// Records how far another host has followed the store, whose changes this host has applied.
+    pub(crate) fn advance(&mut self, revision: Revision, changed: Revision) {
+        if revision.supersedes(self.revision) {
+            self.revision = revision;
+        }
+        if changed.supersedes(self.changed) {
+            self.changed = changed;
+        }
+    }
+
     /// Returns whether the store answers.
     pub(crate) fn is_connected(&self) -> bool {
         self.loaded && self.lost_since.is_none()
@@ -201,6 +220,7 @@
             settings.budget.window
         };
         let state = State {
+            era: 0,
             config: None,
             config_text: None,
             proof: Proof::new(settings.revocation),
@@ -485,6 +505,24 @@
         supervise::restart_on_panic(name, move || task(Rc::clone(&hub)), report);
     }
 
+    /// Records the era of the store that another host knows.
+    pub(crate) fn learn_era(&self, era: Era) {
+        self.store.learn_era(era, "peer");
+        self.enter_era();
+    }
+
+    /// Takes the latest known era of the store into account, before anything that the store or another host says in it.
+    pub(crate) fn enter_era(&self) {
+        let era = self.store.era();
+        let mut state = self.state.borrow_mut();
+        if era > state.era {
+            state.era = era;
+            self.metrics
+                .store_era
+                .set(i64::try_from(era).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Records whether the store answered a call for a kind of object.
     pub(crate) fn record_store_answer(&self, kind: Kind, answered: bool) {
         let now = self.now();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -15,6 +15,7 @@
     load::Load,
     notice::LimitChange,
     report::{self, Schedule},
+    revision::Revision,
     source::Source,
     weights::Age,
 };
@@ -111,6 +112,12 @@
     /// Prompt parts under which servers have ended, and recent clearances of parts.
     #[prost(message, repeated, tag = "20")]
     suspicions: Vec<SuspicionEntry>,
+    /// Era of the revisions of servers; 0 from hosts that do not know of eras.
+    #[prost(uint64, tag = "21")]
+    servers_era: u64,
+    /// The latest era of the store that the sender knows.
+    #[prost(uint64, tag = "22")]
+    era: u64,
 }
 
 /// Hosts of a data centre that have reported to the sender.
@@ -272,6 +279,7 @@
     fn brief(&self) -> Self {
         Self {
             incarnation: self.incarnation,
+            era: self.era,
             stopping: self.stopping,
             lease: self.lease.clone(),
             loads: self.loads.clone(),
@@ -296,6 +304,7 @@
         };
         Self {
             incarnation: self.incarnation,
+            era: self.era,
             stopping: self.stopping,
             lease: self.lease,
             abandoned_fence: self.abandoned_fence,
@@ -391,8 +400,10 @@
     Report {
         incarnation: hub.incarnation,
         config_version: state.config.as_ref().map_or(0, |config| config.version()),
-        servers_revision: state.servers_feed.revision,
-        servers_changed: state.servers_feed.changed,
+        era: hub.store.era(),
+        servers_era: state.servers_feed.revision.era(),
+        servers_revision: state.servers_feed.revision.number(),
+        servers_changed: state.servers_feed.newest_change_in_era(),
         connected: state.is_connected(),
         stopping: hub.is_stopping(),
         lease: hub
@@ -507,6 +518,7 @@
     let hosts = reporting_hosts(&state).filter(|(_, other, _)| **other == data_centre);
     Report {
         incarnation: hub.incarnation,
+        era: hub.store.era(),
         stopping: hub.is_stopping(),
         data_centre: hub.settings.borrow().data_centre.to_string(),
         link: hub.settings.borrow().link_mbps,
@@ -541,6 +553,7 @@
     if report.incarnation == hub.incarnation {
         return;
     }
+    hub.learn_era(report.era);
     for weights in &report.weights {
         let model = Model::from(weights.model.as_str());
         let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
@@ -565,8 +578,8 @@
         host.link_mbps = report.link;
         if report.scope() == Scope::Whole {
             host.config_version = report.config_version;
-            host.servers_revision = report.servers_revision;
-            host.servers_changed = report.servers_changed;
+            host.servers_revision = Revision::new(report.servers_era, report.servers_revision);
+            host.servers_changed = Revision::new(report.servers_era, report.servers_changed);
             host.connected = report.connected;
             state.reach.record_contact(now, &data_centre);
         }
@@ -722,7 +735,8 @@
     let feed = &state.servers_feed;
     let fresh = |host: &&Host| now.saturating_sub(host.last_seen) < MAX_PEER_REPORT_AGE;
     let mut hosts = state.hosts.values().filter(fresh);
-    feed.is_connected() && hosts.any(|host| host.connected && host.servers_changed > feed.changed)
+    feed.is_connected()
+        && hosts.any(|host| host.connected && host.servers_changed.supersedes(feed.changed))
 }
 
 /// Chooses a live host that knows a newer configuration; or, while this host cannot reach the store, one that knows
@@ -739,7 +753,7 @@
         .filter(|(_, host)| now.saturating_sub(host.last_seen) < MAX_PEER_REPORT_AGE)
         .filter(|(_, host)| {
             host.config_version > version
-                || (cut_off && host.servers_revision > revision)
+                || (cut_off && host.servers_revision.supersedes(revision))
                 || (unconfirmed && host.connected)
         })
         .map(|(address, _)| *address)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -108,6 +108,7 @@
             feed::confirm_config(hub, period)
         });
     }
+    hub.spawn_supervised("era of the store", feed::check_era);
     for kind in [Kind::Config, Kind::Servers, Kind::Weights] {
         hub.spawn_supervised(kind.as_str(), move |hub| feed::follow(hub, kind));
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,18 +1,20 @@
 //! Client of the platform's object store.
 
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use jaystand_adapter::store::{self, Call, Changes, Page, Verdict};
-use jaystand_dispatch::lease::{Record, Written};
+use jaystand_dispatch::{
+    lease::{Record, Written},
+    revision::Revision,
+};
 use jaystand_types::{Era, Version};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     link::{self, Connection},
@@ -48,6 +50,9 @@
     /// The store no longer has the history that a watch needs.
     #[error("the store no longer has the history that the watch needs")]
     HistoryGone,
+    /// The store came back from an older copy, in another era than that of the revision or of the answer.
+    #[error("the store has come back from an older copy")]
+    OtherEra,
     /// The answer cannot be read.
     #[error("the store's answer cannot be read: {0}")]
     Unreadable(#[from] jaystand_adapter::Error),
@@ -57,8 +62,15 @@
 pub(crate) struct Store {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    /// The era that the last answer named.
-    era: Cell<Option<Era>>,
+    /// The latest known era; 0 while the store has named none.
+    era: watch::Sender<Era>,
+}
+
+/// A complete answer of the store.
+struct Answer {
+    era: Era,
+    status: StatusCode,
+    body: Bytes,
 }
 
 impl Store {
@@ -66,16 +78,50 @@
         Self {
             address,
             idle: RefCell::default(),
-            era: Cell::default(),
+            era: watch::Sender::default(),
+        }
+    }
+
+    /// Returns the latest known era.
+    pub(crate) fn era(&self) -> Era {
+        *self.era.borrow()
+    }
+
+    /// Records that the store is in an era, by an answer of its own or by the word of another host.
+    pub(crate) fn learn_era(&self, era: Era, source: &str) {
+        let former = self.era();
+        if era > former {
+            log::warn!(era, former, source; "the store names another era");
+            self.era.send_replace(era);
         }
     }
 
+    /// Waits until a later era than the given one is known.
+    pub(crate) async fn wait_for_later_era(&self, known: Era) {
+        let mut era = self.era.subscribe();
+        if era.wait_for(|era| *era > known).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Asks the store for its era. Changes that a watch misses after the store came back are noticed no other way while
+    /// no other call is made.
+    pub(crate) async fn check_era(&self, metrics: &Metrics) -> Result<(), Error> {
+        let call = Call::era();
+        self.call_counted(metrics, "era", &call, CALL_TIMEOUT)
+            .await
+            .map(|_| ())
+    }
+
     /// Lists all objects of a kind. The revision is that of the first page, from which changes are to be watched.
     pub(crate) async fn list(&self, metrics: &Metrics, kind: &str) -> Result<Page, Error> {
         let mut all = self.page(metrics, kind, None).await?;
         let mut failures = 0;
         while let Some(after) = &all.next_after {
             match self.page(metrics, kind, Some(after)).await {
+                Ok(page) if page.revision.era() != all.revision.era() => {
+                    return Err(Error::OtherEra);
+                }
                 Ok(mut page) => {
                     all.objects.append(&mut page.objects);
                     all.unreadable += page.unreadable;
@@ -101,28 +147,33 @@
         after: Option<&str>,
     ) -> Result<Page, Error> {
         let call = Call::list(kind, after);
-        let (status, body) = self
+        let answer = self
             .call_counted(metrics, "list", &call, CALL_TIMEOUT)
             .await?;
-        check_status(status)?;
-        Ok(store::page(&body)?)
+        check_status(answer.status)?;
+        Ok(store::page(answer.era, &answer.body)?)
     }
 
-    /// Waits for changes of a kind after a revision.
+    /// Waits for changes of a kind after a revision. Fails if the store came back from an older copy since the revision:
+    /// the number may have been given out again, and the answer lacks the changes before it.
     pub(crate) async fn watch(
         &self,
         metrics: &Metrics,
         kind: &str,
-        after: Version,
+        after: Revision,
         wait: Duration,
     ) -> Result<Changes, Error> {
         let call = Call::watch(kind, after, wait);
         let time_limit = wait + WATCH_MARGIN;
-        let (status, body) = self
-            .call_counted(metrics, "watch", &call, time_limit)
-            .await?;
-        check_status(status)?;
-        Ok(store::changes(&body)?)
+        let answer = tokio::select! {
+            answer = self.call_counted(metrics, "watch", &call, time_limit) => answer?,
+            () = self.wait_for_later_era(after.era()) => return Err(Error::OtherEra),
+        };
+        if answer.era != after.era() {
+            return Err(Error::OtherEra);
+        }
+        check_status(answer.status)?;
+        Ok(store::changes(answer.era, &answer.body)?)
     }
 
     /// Reads the lease on weight orders.
@@ -131,16 +182,16 @@
         metrics: &Metrics,
     ) -> Result<Option<(Version, Record)>, Error> {
         let call = Call::read(store::LEASES_KIND, store::WEIGHTS_LEASE);
-        let (status, body) = self
+        let answer = self
             .call_counted(metrics, "read", &call, CALL_TIMEOUT)
             .await?;
-        if Verdict::from(status) == Verdict::Missing {
+        if Verdict::from(answer.status) == Verdict::Missing {
             return Ok(None);
         }
-        check_status(status)?;
-        let object = store::object(&body)?;
+        check_status(answer.status)?;
+        let object = store::object(answer.era, &answer.body)?;
         let record = store::lease(&object.value)?;
-        Ok(Some((object.revision, record)))
+        Ok(Some((object.revision.number(), record)))
     }
 
     /// Writes the lease on weight orders: replaces it if it still has the expected revision, or creates it if none is
@@ -159,9 +210,9 @@
             .call_counted(metrics, "write", &call, CALL_TIMEOUT)
             .await
         {
-            Ok((status, body)) => match Verdict::from(status) {
-                Verdict::Done => match store::object(&body) {
-                    Ok(object) => Written::Done(object.revision),
+            Ok(answer) => match Verdict::from(answer.status) {
+                Verdict::Done => match store::object(answer.era, &answer.body) {
+                    Ok(object) => Written::Done(object.revision.number()),
                     Err(error) => {
                         log::warn!("the store's answer to a write cannot be read: {error}");
                         Written::Unknown
@@ -186,10 +237,10 @@
         name: &str,
         call: &Call,
         time_limit: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
-        let result = self.call(metrics, call, time_limit).await;
+    ) -> Result<Answer, Error> {
+        let result = self.call(call, time_limit).await;
         let label = match &result {
-            Ok((status, _)) => status.as_str().to_owned(),
+            Ok(answer) => answer.status.as_str().to_owned(),
             Err(Error::Refused) => "not_sent".to_owned(),
             Err(_) => "unknown".to_owned(),
         };
@@ -197,13 +248,9 @@
         result
     }
 
-    /// Sends a call once and reads the whole answer.
-    async fn call(
-        &self,
-        metrics: &Metrics,
-        call: &Call,
-        time_limit: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    /// Sends a call once and reads the whole answer. An answer of an earlier era than the latest known one is discarded:
+    /// what it shows or acknowledges is lost.
+    async fn call(&self, call: &Call, time_limit: Duration) -> Result<Answer, Error> {
         let mut connection = self.open().await?;
         let exchange = async {
             let answer = connection
@@ -213,9 +260,10 @@
                 link::Error::NotSent => Error::Refused,
                 link::Error::Broken(_) | link::Error::Timeout => Error::Unknown,
             })?;
-            self.observe_era(metrics, call, answer.headers());
+            let era = self.observe_era(call, answer.headers());
             let status = answer.status();
-            Ok((status, answer.into_body().ok_or(Error::Unknown)?))
+            let body = answer.into_body().ok_or(Error::Unknown)?;
+            Ok(Answer { era, status, body })
         };
         let result = timeout(time_limit, exchange).await;
         match result {
@@ -223,6 +271,11 @@
                 if connection.wait_reusable().await {
                     self.idle.borrow_mut().push(connection);
                 }
+                if answer.era < self.era() {
+                    log::info!(call = call.path.as_str(), era = answer.era, known = self.era();
+                        "the store's answer is of an earlier era and is discarded");
+                    return Err(Error::OtherEra);
+                }
                 Ok(answer)
             }
             Ok(Err(error)) => {
@@ -237,22 +290,18 @@
         }
     }
 
-    /// Records the era that an answer names.
-    fn observe_era(&self, metrics: &Metrics, call: &Call, headers: &HeaderMap) {
-        let named = match store::era(headers) {
-            Ok(named) => named,
+    /// Returns the era of an answer. One that names none counts as of the latest known era.
+    fn observe_era(&self, call: &Call, headers: &HeaderMap) -> Era {
+        match store::era(headers) {
+            Ok(Some(era)) => {
+                self.learn_era(era, "store");
+                era
+            }
+            Ok(None) => self.era(),
             Err(error) => {
                 log::warn!(call = call.path.as_str(); "the store's era cannot be read: {error}");
-                return;
+                self.era()
             }
-        };
-        let former = self.era.replace(named);
-        if named != former {
-            log::warn!(era:? = named, former:? = former, call = call.path.as_str(); "the store names another era");
-            let era = named.unwrap_or_default();
-            metrics
-                .store_era
-                .set(i64::try_from(era).unwrap_or(i64::MAX));
         }
     }
 
--- a/crates/types/src/macros.rs
+++ b/crates/types/src/macros.rs
@@ -4,6 +4,7 @@
 ///
 /// - `common!(data ...)` derives `Clone`, `Debug` and `PartialEq`.
 /// - `common!(value ...)` is for small values and adds `Copy`, `Eq`, `Hash`, `PartialOrd` and `Ord` to those of `data`.
+/// - `common!(identity ...)` is for small values without an order and adds `Copy`, `Eq` and `Hash` to those of `data`.
 /// - `common!(message ...)` adds `Eq`, `Serialize` and `Deserialize` to those of `data`. Unknown fields are an error.
 ///
 /// ```
@@ -21,6 +22,9 @@
     (value $($item:item)+) => {
         $(#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)] $item)+
     };
+    (identity $($item:item)+) => {
+        $(#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)] $item)+
+    };
     (message $($item:item)+) => {
         $(
             #[derive(Clone, Debug, PartialEq, Eq, $crate::serde::Serialize, $crate::serde::Deserialize)]
