Hold the lease on weight orders within one era of the store

Cause: a host that had seen the lease kept its revision, so that each conditional write conflicted, and a read that returned nothing or a lower revision changed nothing. Change: what was seen, written or reported in an earlier era is dropped. A lease of which the present era has no value is taken when the duration of a lease has passed since the era was noticed; at once only by a host that relied on its lease when it noticed it. Fencing tokens begin with the era, and after a value that is no longer valid go on with the object's revision, so that none comes twice although nobody remembers the former ones. A token that an engine refused is not used again. A refused write is followed by a read.

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -4,11 +4,19 @@
 //! because each call to the store has a price. Hosts compare no clocks: the holder measures from the time at which it
 //! sent its write, other hosts from the time at which they saw the object change. The clock must include the time that
 //! the host was suspended.
+//!
+//! When the store comes back from an older copy, in a later era, the object may be gone or be an older one, while the
+//! last holder still relies on its lease. What was written in an earlier era therefore proves nothing but that somebody
+//! may hold a lease, until the duration of a lease has passed since the era was noticed: no holder relies on a lease
+//! longer, since a write that the store acknowledged before was also sent before. Only the process that relies on its
+//! lease when it notices the era may take the new one at once.
 
 use std::time::Duration;
 
 use compact_str::CompactString;
-use jaystand_types::{Moment, Version};
+use jaystand_types::{Era, Moment};
+
+use crate::revision::Revision;
 
 /// Another host takes over only after there has been work for this long. A live holder renews within tens of
 /// milliseconds.
@@ -25,13 +33,23 @@
 /// The holder renews when this share of the usable time is left, as a fraction.
 const RENEWAL_SHARE: (u32, u32) = (1, 2);
 
+/// Bits of a fencing token below the era. A store with 1,000 changes a second fills them in 34 years, and tokens up to
+/// era 8,191 are whole numbers also where engines keep them as floating-point numbers.
+const FENCE_NUMBER_BITS: u32 = 40;
+
+jaystand_types::common! { value
+    /// A fencing token. It grows with each change of the holder, also across eras, although no process may remember the
+    /// tokens of an earlier era: it begins with the era.
+    pub struct Fence(u64);
+}
+
 jaystand_types::common! { data
     /// The value of the lease's object in the store.
     pub struct Record {
         /// Name of the process that holds the lease; empty after a release.
         pub holder: CompactString,
-        /// Fencing token, which grows with each change of the holder.
-        pub fence: u64,
+        /// Fencing token.
+        pub fence: Fence,
         /// Grows with each write.
         pub renewal: u64,
     }
@@ -45,15 +63,15 @@
         /// Create the object.
         Create(Record),
         /// Replace the object if it still has this revision.
-        Replace(Version, Record),
+        Replace(Revision, Record),
     }
 }
 
-jaystand_types::common! { value
+jaystand_types::common! { identity
     /// The result of a write.
     pub enum Written {
         /// The write succeeded; the object has this revision.
-        Done(Version),
+        Done(Revision),
         /// Another process wrote first.
         Conflict,
         /// The write did not take effect.
@@ -69,8 +87,16 @@
     name: CompactString,
     /// Time for which a write grants the lease.
     duration: Duration,
-    /// The latest known value of the object, with its revision.
-    seen: Option<(Version, Record)>,
+    /// The latest known era of the store, and when this process noticed it.
+    era: Era,
+    era_noticed_at: Moment,
+    /// Until then no other process holds a lease, since this one relied on its own when it noticed the era.
+    sole_heir_until: Moment,
+    /// Whether to read the object although there is no work, since the store has just come back: the wait for a former
+    /// holder begins with that.
+    must_look: bool,
+    /// The latest known value of the object in this era, with its revision.
+    seen: Option<(Revision, Record)>,
     /// When the object was last seen to change, or its holder last reported. Other hosts may take over from the holder
     /// when the duration of the lease has passed since then.
     changed_at: Moment,
@@ -85,9 +111,37 @@
     /// Until then this process may rely on the lease, if it is the holder.
     usable_until: Moment,
     /// Fencing token whose holder has abandoned its lease.
-    abandoned_fence: Option<u64>,
+    abandoned_fence: Option<Fence>,
     /// The fencing token of the last report of a holder, with the time of the report.
-    last_report: Option<(u64, Moment)>,
+    last_report: Option<(Fence, Moment)>,
+    /// The greatest fencing token that an engine refused.
+    refused_fence: Option<Fence>,
+}
+
+impl Fence {
+    fn new(era: Era, number: u64) -> Self {
+        Self(era << FENCE_NUMBER_BITS | number)
+    }
+
+    fn era(self) -> Era {
+        self.0 >> FENCE_NUMBER_BITS
+    }
+
+    fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl From<u64> for Fence {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+
+impl From<Fence> for u64 {
+    fn from(fence: Fence) -> Self {
+        fence.0
+    }
 }
 
 impl Lease {
@@ -97,6 +151,10 @@
         Self {
             name,
             duration,
+            era: 0,
+            era_noticed_at: Moment::ZERO,
+            sole_heir_until: Moment::ZERO,
+            must_look: false,
             seen: None,
             changed_at: Moment::ZERO,
             is_current: false,
@@ -106,9 +164,31 @@
             usable_until: Moment::ZERO,
             abandoned_fence: None,
             last_report: None,
+            refused_fence: None,
         }
     }
 
+    /// Records the era of the store. In a later one than before, nothing that was seen, written or reported still holds.
+    pub fn observe_era(&mut self, now: Moment, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        self.sole_heir_until = if self.held_fence(now).is_some() {
+            self.usable_until
+        } else {
+            Moment::ZERO
+        };
+        self.must_look = self.era != 0;
+        self.era = era;
+        self.era_noticed_at = now;
+        self.seen = None;
+        self.is_current = false;
+        self.pending = None;
+        self.usable_until = Moment::ZERO;
+        self.abandoned_fence = None;
+        self.last_report = None;
+    }
+
     /// Sets whether there is work for the holder.
     pub fn set_wanted(&mut self, now: Moment, wanted: bool) {
         if !wanted {
@@ -118,23 +198,29 @@
         }
     }
 
-    /// Records the value of the object in the store.
-    pub fn observe(&mut self, now: Moment, object: Option<(Version, Record)>) {
+    /// Records the value of the object in the store, as an answer of an era showed it.
+    pub fn observe(&mut self, now: Moment, era: Era, object: Option<(Revision, Record)>) {
+        self.observe_era(now, era);
+        if era < self.era {
+            return;
+        }
         self.is_current = true;
+        self.must_look = false;
         let Some((revision, record)) = object else {
             return;
         };
-        if self
-            .seen
-            .as_ref()
-            .is_some_and(|(seen, _)| *seen >= revision)
-        {
+        let is_known = |(seen, _): &(Revision, Record)| !revision.supersedes(*seen);
+        if self.seen.as_ref().is_some_and(is_known) {
             return;
         }
         // A pending write took effect if the object has its value.
         if let Some((sent, _)) = self.pending.take_if(|(_, written)| *written == record) {
             self.usable_until = self.usable_until.max(sent + self.usable_time());
         }
+        if record.fence.era() < self.era && self.held_fence(now).is_some() {
+            // A late write of an earlier era has replaced the value of this process.
+            self.sole_heir_until = self.usable_until;
+        }
         if record.holder != self.name {
             self.usable_until = Moment::ZERO;
         }
@@ -149,8 +235,10 @@
     pub fn record_write(&mut self, now: Moment, result: Written) {
         match result {
             Written::Done(revision) => {
+                // A write that was carried out in another era than the one that it was meant for proves nothing.
+                self.observe_era(now, revision.era());
                 if let Some((_, record)) = self.pending.clone() {
-                    self.observe(now, Some((revision, record)));
+                    self.observe(now, revision.era(), Some((revision, record)));
                     self.pending = None;
                 }
             }
@@ -160,6 +248,8 @@
             }
             Written::Refused => {
                 self.pending = None;
+                // The store may be back from an older copy when it answers again.
+                self.is_current = false;
                 self.not_before = now + RETRY_DELAY;
             }
             Written::Unknown => {
@@ -171,29 +261,33 @@
 
     /// Returns the action that is due. `rank` is the number of hosts that try before this one.
     pub fn step(&mut self, now: Moment, rank: u32) -> Step {
-        let Some(wanted) = self.wanted_since else {
-            return Step::Wait;
-        };
         if now < self.not_before {
             return Step::Wait;
         }
+        if self.must_look && !self.is_current {
+            self.not_before = now + RETRY_DELAY;
+            return Step::Read;
+        }
+        let Some(wanted) = self.wanted_since else {
+            return Step::Wait;
+        };
         if !self.is_current {
             self.not_before = now + RETRY_DELAY;
             return Step::Read;
         }
-        let Some((revision, record)) = self.seen.clone() else {
-            if now < wanted + FREE_RANK_DELAY * rank {
+        let in_era = |(_, record): &&(Revision, Record)| record.fence.era() == self.era;
+        let Some((revision, record)) = self.seen.as_ref().filter(in_era).cloned() else {
+            if now < self.free_since(now, wanted, rank) {
                 return Step::Wait;
             }
-            let first = Record {
-                holder: self.name.clone(),
-                fence: 1,
-                renewal: 1,
+            let next = self.next_record();
+            self.begin_write(now, &next);
+            return match &self.seen {
+                Some((revision, _)) => Step::Replace(*revision, next),
+                None => Step::Create(next),
             };
-            self.begin_write(now, &first);
-            return Step::Create(first);
         };
-        let is_holder = record.holder == self.name;
+        let is_holder = record.holder == self.name && self.refused_fence < Some(record.fence);
         let is_free = record.holder.is_empty() || self.abandoned_fence == Some(record.fence);
         if is_free && !is_holder {
             if now < wanted + FREE_RANK_DELAY * rank {
@@ -210,15 +304,63 @@
                 return Step::Wait;
             }
         }
-        let next = Record {
-            holder: self.name.clone(),
-            fence: record.fence + u64::from(!is_holder),
-            renewal: record.renewal + 1,
+        let next = if is_holder {
+            Record {
+                renewal: record.renewal + 1,
+                ..record
+            }
+        } else {
+            self.next_record()
         };
         self.begin_write(now, &next);
         Step::Replace(revision, next)
     }
 
+    /// Returns when this process may take a lease of which the present era has no value.
+    fn free_since(&self, now: Moment, wanted: Moment, rank: u32) -> Moment {
+        if now < self.sole_heir_until {
+            return now;
+        }
+        // A store that names no era has never come back from a copy, and has lost no lease.
+        let expired = if self.era == 0 {
+            Moment::ZERO
+        } else {
+            self.era_noticed_at + self.duration
+        };
+        let reported = self.last_report.map_or(Moment::ZERO, |(_, at)| {
+            at + self.duration + RANK_DELAY * rank
+        });
+        // A late write of an earlier era may have replaced the value of a holder that has not noticed it.
+        let replaced = match &self.seen {
+            Some(_) => self.changed_at + self.duration,
+            None => Moment::ZERO,
+        };
+        (wanted.max(expired).max(replaced) + FREE_RANK_DELAY * rank).max(reported)
+    }
+
+    /// Returns the value with which this process takes the lease.
+    ///
+    /// The number of a token is never greater than that of the object's revision. A token that follows a lost value, or
+    /// one that a late write of an earlier era has replaced, is therefore greater than all tokens before if it is greater
+    /// than the revision.
+    fn next_record(&self) -> Record {
+        let (fence, renewal) = match &self.seen {
+            None => (Fence::new(self.era, 1), 1),
+            Some((_, record)) if record.fence.era() == self.era => {
+                (record.fence.next(), record.renewal + 1)
+            }
+            Some((revision, record)) => (
+                Fence::new(self.era, revision.number() + 1),
+                record.renewal + 1,
+            ),
+        };
+        Record {
+            holder: self.name.clone(),
+            fence,
+            renewal,
+        }
+    }
+
     /// Releases the lease, so that another host need not wait until it expires. Returns the write that does so.
     pub fn release(&mut self, now: Moment) -> Step {
         let is_holder = self.held_fence(now).is_some();
@@ -235,9 +377,15 @@
     }
 
     /// Records a report in which the holder states that it still has the lease, with the value that it wrote last.
-    pub fn observe_holder(&mut self, now: Moment, revision: Version, record: Record) {
+    pub fn observe_holder(&mut self, now: Moment, revision: Revision, record: Record) {
+        self.observe_era(now, revision.era());
         self.last_report = Some((record.fence, now));
-        if self.seen.as_ref().is_none_or(|(seen, _)| *seen <= revision) {
+        if revision.era() < self.era {
+            // A host that has not noticed the present era, and gives orders until it does.
+            return;
+        }
+        let is_known = |(seen, _): &(Revision, Record)| seen.supersedes(revision);
+        if !self.seen.as_ref().is_some_and(is_known) {
             self.seen = Some((revision, record));
             self.changed_at = now;
             self.is_current = true;
@@ -246,7 +394,7 @@
 
     /// Returns the value that this process wrote, with its revision, while it holds the lease.
     #[must_use]
-    pub fn held_record(&self, now: Moment) -> Option<(Version, &Record)> {
+    pub fn held_record(&self, now: Moment) -> Option<(Revision, &Record)> {
         self.held_fence(now)?;
         let (revision, record) = self.seen.as_ref()?;
         Some((*revision, record))
@@ -254,7 +402,7 @@
 
     /// Stops using the lease without a write, since the store cannot be reached. Returns the fencing token of the
     /// lease, which another host may take over at once.
-    pub fn abandon(&mut self, now: Moment) -> Option<u64> {
+    pub fn abandon(&mut self, now: Moment) -> Option<Fence> {
         let fence = self.held_fence(now)?;
         self.usable_until = Moment::ZERO;
         self.is_current = false;
@@ -262,7 +410,7 @@
     }
 
     /// Records that the holder of a fencing token has abandoned its lease.
-    pub fn observe_abandoned(&mut self, fence: u64) {
+    pub fn observe_abandoned(&mut self, fence: Fence) {
         self.abandoned_fence = Some(fence);
     }
 
@@ -273,14 +421,17 @@
 
     /// Returns the fencing token, while this process holds the lease.
     #[must_use]
-    pub fn held_fence(&self, now: Moment) -> Option<u64> {
+    pub fn held_fence(&self, now: Moment) -> Option<Fence> {
         let (_, record) = self.seen.as_ref()?;
-        let is_holder = record.holder == self.name && now < self.usable_until;
+        let is_holder =
+            record.holder == self.name && record.fence.era() == self.era && now < self.usable_until;
         is_holder.then_some(record.fence)
     }
 
-    /// Stops using the lease because an engine has seen a greater fencing token.
-    pub fn mark_fenced_off(&mut self) {
+    /// Stops using the lease because an engine has seen a greater fencing token than the given one, which is not used
+    /// again.
+    pub fn mark_fenced_off(&mut self, fence: Fence) {
+        self.refused_fence = self.refused_fence.max(Some(fence));
         self.usable_until = Moment::ZERO;
         self.is_current = false;
     }
--- a/crates/dispatch/tests/lease.rs
+++ b/crates/dispatch/tests/lease.rs
@@ -2,18 +2,39 @@
 
 mod support;
 
-use jaystand_dispatch::lease::{Lease, Record, Step, Written};
-use jaystand_types::{Moment, Version};
+use std::collections::VecDeque;
+
+use jaystand_dispatch::{
+    lease::{Fence, Lease, Record, Step, Written},
+    revision::Revision,
+};
+use jaystand_types::{Era, Moment, Version};
+use proptest::{prelude::*, test_runner::RngSeed};
 use support::ms;
 
-/// A store with one object.
-#[derive(Default)]
+/// A store with one object, which names no era until it comes back from a copy.
+#[derive(Clone, Default)]
 struct Store {
+    era: Era,
     object: Option<(Version, Record)>,
     revision: Version,
 }
 
 impl Store {
+    /// Returns the object as an answer shows it.
+    fn shown(&self) -> Option<(Revision, Record)> {
+        let (revision, record) = self.object.clone()?;
+        Some((Revision::new(self.era, revision), record))
+    }
+
+    /// Comes back from a copy.
+    fn restore(&mut self, copy: &Self) {
+        *self = Self {
+            era: self.era + 1,
+            ..copy.clone()
+        };
+    }
+
     fn write(&mut self, expected: Option<Version>, record: Record) -> Written {
         let present = self.object.as_ref().map(|(revision, _)| *revision);
         if present != expected {
@@ -21,7 +42,7 @@
         }
         self.revision += 1;
         self.object = Some((self.revision, record));
-        Written::Done(self.revision)
+        Written::Done(Revision::new(self.era, self.revision))
     }
 
     /// Carries out a step without delay. Returns whether it was a write.
@@ -29,17 +50,21 @@
         let written = match step {
             Step::Wait => return false,
             Step::Read => {
-                lease.observe(now, self.object.clone());
+                lease.observe(now, self.era, self.shown());
                 return false;
             }
             Step::Create(record) => self.write(None, record),
-            Step::Replace(revision, record) => self.write(Some(revision), record),
+            Step::Replace(revision, record) => self.write(Some(revision.number()), record),
         };
         lease.record_write(now, written);
         true
     }
 }
 
+fn fence(value: u64) -> Fence {
+    value.into()
+}
+
 fn lease(name: &str) -> Lease {
     Lease::new(name.into(), ms(3_000))
 }
@@ -62,7 +87,7 @@
 fn the_first_host_acquires_the_lease_and_renews_it() {
     let (mut store, mut a) = (Store::default(), lease("a"));
     let writes = run(&mut store, &mut a, 0, 1_000, 6_000);
-    assert_eq!(a.held_fence(ms(6_000)), Some(1));
+    assert_eq!(a.held_fence(ms(6_000)), Some(fence(1)));
     assert!((4..=6).contains(&writes), "{writes}");
 }
 
@@ -85,7 +110,7 @@
     }
     assert_eq!(
         store.object.as_ref().map(|(_, record)| record.fence),
-        Some(2)
+        Some(fence(2))
     );
     assert!(
         taken.is_some_and(|at| at > ms(4_500) && at < ms(6_500)),
@@ -101,7 +126,7 @@
     let mut writes = 0;
     for now in (2_000..12_000).step_by(100) {
         let now = ms(now);
-        let (revision, record) = store.object.clone().expect("a lease");
+        let (revision, record) = store.shown().expect("a lease");
         b.observe_holder(now, revision, record);
         b.set_wanted(now, true);
         let step = b.step(now, 1);
@@ -129,7 +154,7 @@
     // The holder is gone; new weights are named 3.5 s later.
     b.set_wanted(ms(5_000), false);
     let writes = run(&mut store, &mut b, 1, 8_500, 9_700);
-    assert_eq!((writes, b.held_fence(ms(9_700))), (1, Some(2)));
+    assert_eq!((writes, b.held_fence(ms(9_700))), (1, Some(fence(2))));
 }
 
 /// Guards against a second wait for the whole duration of the lease when the holder was suspended right after a renewal
@@ -140,7 +165,7 @@
     let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
     run(&mut store, &mut b, 1, 900, 1_000);
     run(&mut store, &mut a, 0, 1_000, 1_500);
-    let (revision, record) = store.object.clone().expect("a lease");
+    let (revision, record) = store.shown().expect("a lease");
     b.set_wanted(ms(1_000), true);
     b.observe_holder(ms(1_500), revision, record);
     // The holder renews once more and is suspended.
@@ -149,10 +174,10 @@
         store
             .object
             .as_ref()
-            .is_some_and(|(newer, _)| *newer > revision)
+            .is_some_and(|(newer, _)| *newer > revision.number())
     );
     run(&mut store, &mut b, 0, 2_600, 5_500);
-    assert_eq!(b.held_fence(ms(5_500)), Some(2));
+    assert_eq!(b.held_fence(ms(5_500)), Some(fence(2)));
 }
 
 /// Guards against a live holder being replaced because its last report was long before there was work.
@@ -161,7 +186,7 @@
     let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
     run(&mut store, &mut b, 1, 900, 1_000);
     run(&mut store, &mut a, 0, 1_000, 1_500);
-    let (revision, record) = store.object.clone().expect("a lease");
+    let (revision, record) = store.shown().expect("a lease");
     b.observe_holder(ms(1_500), revision, record);
     b.set_wanted(ms(1_600), false);
     a.set_wanted(ms(1_600), false);
@@ -187,7 +212,7 @@
     assert_eq!(a.held_fence(ms(2_000)), None);
     b.require_read();
     run(&mut store, &mut b, 0, 2_000, 2_800);
-    assert_eq!(b.held_fence(ms(2_800)), Some(2));
+    assert_eq!(b.held_fence(ms(2_800)), Some(fence(2)));
 }
 
 /// Guards against a holder that stops renewing because it must read the object again whenever another host stops
@@ -204,7 +229,7 @@
         a.set_wanted(now, true);
         let step = a.step(now, 0);
         store.carry_out(now, &mut a, step);
-        assert_eq!(a.held_fence(now), Some(1), "lost at {now:?}");
+        assert_eq!(a.held_fence(now), Some(fence(1)), "lost at {now:?}");
     }
 }
 
@@ -215,7 +240,7 @@
     let (mut store, mut a) = (Store::default(), lease("a"));
     a.set_wanted(ms(1_000), true);
     assert_eq!(a.step(ms(1_000), 0), Step::Read);
-    a.observe(ms(1_010), None);
+    a.observe(ms(1_010), 0, None);
     let Step::Create(record) = a.step(ms(1_400), 0) else {
         panic!("the lease is free");
     };
@@ -224,9 +249,9 @@
     a.record_write(ms(2_300), Written::Unknown);
     assert_eq!(a.held_fence(ms(2_300)), None);
     assert_eq!(a.step(ms(2_600), 0), Step::Read);
-    a.observe(ms(2_610), store.object.clone());
+    a.observe(ms(2_610), 0, store.shown());
     // The holder relies on the lease for two thirds of its duration, from the time at which it sent the write.
-    assert_eq!(a.held_fence(ms(3_399)), Some(1));
+    assert_eq!(a.held_fence(ms(3_399)), Some(fence(1)));
     assert_eq!(a.held_fence(ms(3_400)), None);
 }
 
@@ -243,6 +268,321 @@
 fn a_holder_that_was_fenced_off_sends_no_orders() {
     let (mut store, mut a) = (Store::default(), lease("a"));
     run(&mut store, &mut a, 0, 1_000, 2_000);
-    a.mark_fenced_off();
+    a.mark_fenced_off(fence(1));
+    assert_eq!(a.held_fence(ms(2_000)), None);
+}
+
+/// Guards against a token that an engine refused and that is used again later (users' duty: no order with it once the
+/// lease's duration has passed).
+#[test]
+fn a_refused_token_is_not_used_again() {
+    let (mut store, mut a) = (Store::default(), lease("a"));
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    a.mark_fenced_off(fence(1));
+    for now in (2_000..9_000).step_by(100) {
+        let now = ms(now);
+        a.set_wanted(now, true);
+        let step = a.step(now, 0);
+        store.carry_out(now, &mut a, step);
+        assert_ne!(a.held_fence(now), Some(fence(1)), "at {now:?}");
+    }
+    assert_eq!(a.held_fence(ms(9_000)), Some(fence(2)));
+}
+
+/// Guards against a holder that stops for seconds when the store comes back without its lease, although nobody else can
+/// hold one.
+#[test]
+fn a_holder_takes_a_lost_lease_again_at_once() {
+    let (mut store, mut a) = (Store::default(), lease("a"));
+    let copy = store.clone();
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    let former = a.held_fence(ms(2_000)).expect("held");
+    store.restore(&copy);
+    a.observe_era(ms(2_000), store.era);
     assert_eq!(a.held_fence(ms(2_000)), None);
+    run(&mut store, &mut a, 0, 2_000, 2_800);
+    assert!(a.held_fence(ms(2_800)).is_some_and(|fence| fence > former));
+}
+
+/// Guards against a holder that waits for another one to expire although it was replaced only in an earlier era, and
+/// against one that takes the lease again after it has abandoned it, when another host may hold one that was lost.
+#[test]
+fn a_holder_that_abandoned_its_lease_waits_as_others_do() {
+    let (mut store, mut a) = (Store::default(), lease("a"));
+    let copy = store.clone();
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    assert!(a.abandon(ms(2_000)).is_some());
+    store.restore(&copy);
+    a.observe_era(ms(2_100), store.era);
+    for now in (2_100..5_100).step_by(100) {
+        run(&mut store, &mut a, 0, now, now + 100);
+        assert_eq!(a.held_fence(ms(now)), None, "at {now}");
+    }
+    run(&mut store, &mut a, 0, 5_100, 6_000);
+    assert!(a.held_fence(ms(6_000)).is_some());
+}
+
+/// Guards against a wait for the duration of a lease when weights are named long after the store came back.
+#[test]
+fn a_lost_lease_is_free_once_its_holder_must_have_stopped() {
+    let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
+    let copy = store.clone();
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    store.restore(&copy);
+    b.observe_era(ms(3_000), store.era);
+    run(&mut store, &mut b, 0, 11_000, 11_600);
+    assert!(b.held_fence(ms(11_600)).is_some());
+}
+
+/// Guards against the same wait when an older value of the lease is back.
+#[test]
+fn an_older_lease_is_free_once_its_holder_must_have_stopped() {
+    let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
+    store.era = 1;
+    b.observe_era(ms(500), store.era);
+    run(&mut store, &mut a, 0, 1_000, 5_000);
+    assert!(a.held_fence(ms(5_000)).is_some());
+    let copy = store.clone();
+    store.restore(&copy);
+    // The host has no work, and reads the lease once.
+    b.observe_era(ms(6_000), store.era);
+    for now in (6_000..11_000).step_by(100) {
+        let step = b.step(ms(now), 0);
+        store.carry_out(ms(now), &mut b, step);
+    }
+    run(&mut store, &mut b, 0, 11_000, 11_300);
+    let taken = b.held_fence(ms(11_300));
+    assert!(taken > a.held_fence(ms(5_000)), "{taken:?}");
+}
+
+/// Guards against a lease that was not taken by a host which learns of the era from the holder of another one.
+#[test]
+fn a_holder_of_an_earlier_era_that_still_reports_is_not_replaced() {
+    let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    let (revision, record) = a
+        .held_record(ms(2_000))
+        .map(|(r, record)| (r, record.clone()))
+        .expect("held");
+    store.restore(&Store::default());
+    b.observe_era(ms(2_000), store.era);
+    for now in (2_000..9_000).step_by(100) {
+        b.observe_holder(ms(now), revision, record.clone());
+        run(&mut store, &mut b, 0, now, now + 100);
+        assert_eq!(b.held_fence(ms(now)), None, "at {now}");
+    }
+}
+
+/// A write on its way to the store.
+struct Sent {
+    arrives: u64,
+    /// When its sender gives up waiting for the answer; `None` if that has happened.
+    times_out: Option<u64>,
+    host: usize,
+    run: usize,
+    expected: Option<Version>,
+    record: Record,
+}
+
+/// Hosts that use the lease while the store comes back from copies, answers are lost, writes arrive late, and hosts are
+/// killed, suspended or cut off from each other.
+struct World {
+    store: Store,
+    copies: VecDeque<Store>,
+    /// The runs of the hosts: number, start and lease.
+    hosts: Vec<(usize, u64, Lease)>,
+    runs: usize,
+    sent: Vec<Sent>,
+    /// Until then the host stands still.
+    suspended: Vec<u64>,
+    /// The holder of each fencing token, and the greatest one of an order.
+    holders: std::collections::BTreeMap<Fence, String>,
+    last_order: Option<(u64, String)>,
+    held_at: Vec<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Restore { age: usize },
+    Kill { host: usize },
+    Suspend { host: usize, for_ms: u64 },
+    LateWrites { for_ms: u64 },
+}
+
+const HOSTS: usize = 3;
+const STEP_MS: u64 = 50;
+const ANSWER_TIMEOUT_MS: u64 = 900;
+/// Least time between the orders of two holders: a third of the lease's duration, less two steps.
+const MIN_TURN_MS: u64 = 900;
+
+impl World {
+    fn new() -> Self {
+        let store = Store {
+            era: 1,
+            ..Store::default()
+        };
+        let mut world = Self {
+            store,
+            copies: VecDeque::new(),
+            hosts: Vec::new(),
+            runs: 0,
+            sent: Vec::new(),
+            suspended: vec![0; HOSTS],
+            holders: std::collections::BTreeMap::new(),
+            last_order: None,
+            held_at: Vec::new(),
+        };
+        for _ in 0..HOSTS {
+            let host = world.start(0);
+            world.hosts.push(host);
+        }
+        world
+    }
+
+    fn start(&mut self, now: u64) -> (usize, u64, Lease) {
+        self.runs += 1;
+        (self.runs, now, lease(&format!("run-{}", self.runs)))
+    }
+
+    fn apply(&mut self, now: u64, trouble: Trouble) {
+        match trouble {
+            Trouble::Restore { age } => {
+                let index = self.copies.len().saturating_sub(1 + age);
+                let copy = self.copies.get(index).cloned().unwrap_or_default();
+                self.store.restore(&copy);
+                self.copies.clear();
+            }
+            Trouble::Kill { host } => self.hosts[host] = self.start(now),
+            Trouble::Suspend { host, for_ms } => self.suspended[host] = now + for_ms,
+            Trouble::LateWrites { .. } => {}
+        }
+    }
+
+    /// Runs all hosts for one step. `late` delays writes, which then get no answer.
+    fn step(&mut self, now: u64, wanted: bool, late: u64) {
+        self.copies.push_back(self.store.clone());
+        if self.copies.len() > 200 {
+            self.copies.pop_front();
+        }
+        // Other objects change, too.
+        self.store.revision += 1;
+        for host in 0..HOSTS {
+            if now < self.suspended[host] {
+                continue;
+            }
+            // The moments of a process begin with its start.
+            let (_, started, lease) = &mut self.hosts[host];
+            let moment = ms(now - *started);
+            lease.set_wanted(moment, wanted);
+            match lease.step(moment, u32::try_from(host).expect("few hosts")) {
+                Step::Wait => {}
+                Step::Read => lease.observe(moment, self.store.era, self.store.shown()),
+                Step::Create(record) => self.send(now, host, None, record, late),
+                Step::Replace(revision, record) => {
+                    self.send(now, host, Some(revision.number()), record, late);
+                }
+            }
+            self.check_order(now, host, moment);
+        }
+        self.deliver(now);
+    }
+
+    fn send(
+        &mut self,
+        now: u64,
+        host: usize,
+        expected: Option<Version>,
+        record: Record,
+        late: u64,
+    ) {
+        self.sent.push(Sent {
+            arrives: now + late,
+            times_out: Some(now + ANSWER_TIMEOUT_MS),
+            host,
+            run: self.hosts[host].0,
+            expected,
+            record,
+        });
+    }
+
+    /// Delivers writes and their answers. A write whose sender no longer waits is carried out all the same.
+    fn deliver(&mut self, now: u64) {
+        for mut sent in std::mem::take(&mut self.sent) {
+            let result = if sent.arrives <= now {
+                Some(self.store.write(sent.expected, sent.record.clone()))
+            } else {
+                None
+            };
+            let timed_out = sent.times_out.is_some_and(|at| at <= now);
+            let (run, started, lease) = &mut self.hosts[sent.host];
+            if sent.times_out.is_some() && *run == sent.run && (result.is_some() || timed_out) {
+                lease.record_write(ms(now - *started), result.unwrap_or(Written::Unknown));
+                sent.times_out = None;
+            }
+            if result.is_none() {
+                self.sent.push(sent);
+            }
+        }
+    }
+
+    /// Checks the order that a host would send now.
+    fn check_order(&mut self, now: u64, host: usize, moment: Moment) {
+        let (_, _, lease) = &self.hosts[host];
+        let Some(fence) = lease.held_fence(moment) else {
+            return;
+        };
+        let run = format!("host {host}");
+        self.held_at.push(now);
+        let known = self.holders.entry(fence).or_insert_with(|| run.clone());
+        assert_eq!(*known, run, "two holders with {fence:?} at {now}");
+        let (newest, holder) = self.holders.last_key_value().expect("inserted");
+        assert!(
+            *newest == fence || *holder == run,
+            "{run} orders with {fence:?} at {now} after {newest:?} of {holder}"
+        );
+        if let Some((at, other)) = &self.last_order {
+            assert!(
+                *other == run || now - at >= MIN_TURN_MS,
+                "{run} orders {} ms after {other}, at {now}",
+                now - at
+            );
+        }
+        self.last_order = Some((now, run));
+    }
+}
+
+fn troubles() -> impl Strategy<Value = Vec<(u64, Trouble)>> {
+    let trouble = prop_oneof![
+        3 => (0_usize..200).prop_map(|age| Trouble::Restore { age }),
+        1 => (0..HOSTS).prop_map(|host| Trouble::Kill { host }),
+        1 => (0..HOSTS, 100_u64..6_000)
+            .prop_map(|(host, for_ms)| Trouble::Suspend { host, for_ms }),
+        1 => (100_u64..2_900).prop_map(|for_ms| Trouble::LateWrites { for_ms }),
+    ];
+    proptest::collection::vec((0_u64..24_000, trouble), 0..9)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_500, rng_seed: RngSeed::Fixed(35), ..ProptestConfig::default() })]
+
+    /// Guards against two holders with one token, against a token after a greater one of another host, against holders
+    /// that take turns at once, and against a lease that nobody takes any more, whatever copies the store comes back from.
+    #[test]
+    fn one_host_at_a_time_gives_orders_across_eras(troubles in troubles()) {
+        let mut world = World::new();
+        let mut late_until = 0;
+        for now in (0..36_000).step_by(usize::try_from(STEP_MS).expect("small")) {
+            for (at, trouble) in &troubles {
+                if (now..now + STEP_MS).contains(at) {
+                    world.apply(now, *trouble);
+                    if let Trouble::LateWrites { for_ms } = trouble {
+                        late_until = now + for_ms;
+                    }
+                }
+            }
+            let late = late_until.saturating_sub(now);
+            world.step(now, true, late);
+        }
+        prop_assert!(world.held_at.last().is_some_and(|at| *at > 35_000), "nobody holds the lease");
+    }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -19,7 +19,7 @@
     config::Configuration,
     directory::{Change, Directory, Server},
     holdings::Holdings,
-    lease::Record,
+    lease::{Fence, Record},
     limit::{Call, Origin, Rate},
     load::Peers,
     notice::LimitChange,
@@ -88,11 +88,11 @@
     pub(crate) lease_may_be_free: Cell<bool>,
     /// The lease that another host last reported to hold, and when, by the clock that also runs while the host is
     /// suspended.
-    pub(crate) reported_lease: RefCell<Option<(Moment, Version, Record)>>,
+    pub(crate) reported_lease: RefCell<Option<(Moment, Revision, Record)>>,
     /// Fencing token of a lease that its holder, this process or another, has abandoned.
-    pub(crate) abandoned_fence: Cell<Option<u64>>,
+    pub(crate) abandoned_fence: Cell<Option<Fence>>,
     /// The lease that this process holds.
-    pub(crate) held_lease: RefCell<Option<(Version, Record)>>,
+    pub(crate) held_lease: RefCell<Option<(Revision, Record)>>,
     /// Number of tasks that have panicked and not started again.
     pub(crate) tasks_down: Cell<usize>,
     /// Number of requests without a final answer.
@@ -520,6 +520,7 @@
             self.metrics
                 .store_era
                 .set(i64::try_from(era).unwrap_or(i64::MAX));
+            self.weights_changed.notify_one();
         }
     }
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,9 +12,10 @@
     health::Outcome,
     lease::{Lease, Record, Step, Written},
     limit::{Call, Origin},
+    revision::Revision,
     weights::{self, Update},
 };
-use jaystand_types::Version;
+use jaystand_types::Era;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -67,6 +68,9 @@
             weights::pending(&state.directory, &state.versions)
         };
         let wanted = pending && !hub.is_stopping();
+        lease
+            .borrow_mut()
+            .observe_era(clock::since_boot(), hub.store.era());
         if let Some((reported_at, revision, record)) = hub.reported_lease.take() {
             lease
                 .borrow_mut()
@@ -83,11 +87,11 @@
             release_lease(&hub, &lease).await;
         }
         lease.borrow_mut().set_wanted(clock::since_boot(), wanted);
+        advance_lease(&hub, &lease).await;
         if !wanted {
             *hub.held_lease.borrow_mut() = None;
             continue;
         }
-        advance_lease(&hub, &lease).await;
         let holds = publish_lease(&hub, &lease);
         if holds {
             start_updates(&hub, &lease, &running);
@@ -111,9 +115,9 @@
         Step::Wait => return,
         Step::Read => {
             match hub.store.read_lease(&hub.metrics).await {
-                Ok(object) => {
-                    log_read_lease(object.as_ref());
-                    lease.borrow_mut().observe(clock::since_boot(), object);
+                Ok((era, object)) => {
+                    log_read_lease(era, object.as_ref());
+                    lease.borrow_mut().observe(clock::since_boot(), era, object);
                 }
                 Err(error) => log::info!("the lease on weight orders cannot be read: {error}"),
             }
@@ -135,16 +139,17 @@
         Written::Refused => "refused",
         Written::Unknown => "unknown",
     };
-    log::info!(fence = record.fence, renewal = record.renewal, rank, result; "lease on weight orders written");
+    log::info!(fence = u64::from(record.fence), renewal = record.renewal, rank, result; "lease on weight orders written");
 }
 
-fn log_read_lease(object: Option<&(Version, Record)>) {
+fn log_read_lease(era: Era, object: Option<&(Revision, Record)>) {
     match object {
         Some((revision, record)) => {
-            log::info!(revision, holder = record.holder.as_str(), fence = record.fence, renewal = record.renewal;
+            log::info!(era, revision = revision.number(), holder = record.holder.as_str(),
+                fence = u64::from(record.fence), renewal = record.renewal;
                 "lease on weight orders read");
         }
-        None => log::info!("lease on weight orders read: the store has none"),
+        None => log::info!(era; "lease on weight orders read: the store has none"),
     }
 }
 
@@ -156,7 +161,7 @@
             .store
             .write_lease(&hub.metrics, &record, Some(revision))
             .await;
-        log::info!(fence = record.fence, result:? = written; "lease on weight orders given up");
+        log::info!(fence = u64::from(record.fence), result:? = written; "lease on weight orders given up");
         hub.report_now.notify_one();
     }
 }
@@ -168,7 +173,7 @@
         return;
     }
     if let Some(fence) = lease.borrow_mut().abandon(clock::since_boot()) {
-        log::warn!(fence; "lease on weight orders abandoned: the store cannot be reached");
+        log::warn!(fence = u64::from(fence); "lease on weight orders abandoned: the store cannot be reached");
         hub.abandoned_fence.set(Some(fence));
         *hub.held_lease.borrow_mut() = None;
         hub.report_now.notify_one();
@@ -314,7 +319,7 @@
             version: update.version,
             runs: weights::RUNS_DURING_UPDATE,
             holder: &holder,
-            fence,
+            fence: fence.into(),
             expected_orders: report.accepted_orders,
         });
         let sent_at = Instant::now();
@@ -330,7 +335,9 @@
         .await;
         let reply = match answer {
             Ok((status, _)) => engine::reply(status),
-            Err(Error::NotSent) if lease.borrow().held_fence(clock::since_boot()).is_none() => {
+            Err(Error::NotSent)
+                if lease.borrow().held_fence(clock::since_boot()) != Some(fence) =>
+            {
                 return "lease lost";
             }
             Err(Error::NotSent) => {
@@ -339,7 +346,7 @@
             }
             Err(Error::Broken(_) | Error::Timeout) => Reply::Unknown,
         };
-        log::info!(server = name.as_str(), version = update.version, fence,
+        log::info!(server = name.as_str(), version = update.version, fence = u64::from(fence),
             expected_orders = report.accepted_orders, reply:? = reply; "weight order sent");
         match reply {
             Reply::Accepted => {
@@ -357,7 +364,7 @@
             }
             Reply::Conflict => sleep(REPORT_PERIOD).await,
             Reply::FencedOff => {
-                lease.borrow_mut().mark_fenced_off();
+                lease.borrow_mut().mark_fenced_off(fence);
                 return "fenced off";
             }
             Reply::OtherServer => return "other server",
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,7 +10,7 @@
 };
 
 use jaystand_dispatch::{
-    lease::Record,
+    lease::{Fence, Record},
     limit::{self, Fleet, Rate},
     load::Load,
     notice::LimitChange,
@@ -154,6 +154,9 @@
     fence: u64,
     #[prost(uint64, tag = "4")]
     renewal: u64,
+    /// Era of the revision; 0 from hosts that do not know of eras.
+    #[prost(uint64, tag = "5")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -411,13 +414,14 @@
             .borrow()
             .as_ref()
             .map(|(revision, record)| LeaseEntry {
-                revision: *revision,
+                era: revision.era(),
+                revision: revision.number(),
                 holder: record.holder.to_string(),
-                fence: record.fence,
+                fence: record.fence.into(),
                 renewal: record.renewal,
             }),
         data_centre: hub.settings.borrow().data_centre.to_string(),
-        abandoned_fence: hub.abandoned_fence.get(),
+        abandoned_fence: hub.abandoned_fence.get().map(u64::from),
         groups: group_by_data_centre(named),
         new: is_new(state, now),
         link: hub.settings.borrow().link_mbps,
@@ -583,17 +587,19 @@
             host.connected = report.connected;
             state.reach.record_contact(now, &data_centre);
         }
-        if report.abandoned_fence.is_some() && hub.abandoned_fence.get() < report.abandoned_fence {
-            hub.abandoned_fence.set(report.abandoned_fence);
+        let abandoned = report.abandoned_fence.map(Fence::from);
+        if abandoned.is_some() && hub.abandoned_fence.get() < abandoned {
+            hub.abandoned_fence.set(abandoned);
             hub.weights_changed.notify_one();
         }
         if let Some(lease) = &report.lease {
             let record = Record {
                 holder: lease.holder.as_str().into(),
-                fence: lease.fence,
+                fence: lease.fence.into(),
                 renewal: lease.renewal,
             };
-            let reported = (clock::since_boot(), lease.revision, record);
+            let revision = Revision::new(lease.era, lease.revision);
+            let reported = (clock::since_boot(), revision, record);
             *hub.reported_lease.borrow_mut() = Some(reported);
         }
         for entry in &report.parts {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,7 @@
     lease::{Record, Written},
     revision::Revision,
 };
-use jaystand_types::{Era, Version};
+use jaystand_types::Era;
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -176,22 +176,22 @@
         Ok(store::changes(answer.era, &answer.body)?)
     }
 
-    /// Reads the lease on weight orders.
+    /// Reads the lease on weight orders. Returns the era of the answer, and the lease if there is one.
     pub(crate) async fn read_lease(
         &self,
         metrics: &Metrics,
-    ) -> Result<Option<(Version, Record)>, Error> {
+    ) -> Result<(Era, Option<(Revision, Record)>), Error> {
         let call = Call::read(store::LEASES_KIND, store::WEIGHTS_LEASE);
         let answer = self
             .call_counted(metrics, "read", &call, CALL_TIMEOUT)
             .await?;
         if Verdict::from(answer.status) == Verdict::Missing {
-            return Ok(None);
+            return Ok((answer.era, None));
         }
         check_status(answer.status)?;
         let object = store::object(answer.era, &answer.body)?;
         let record = store::lease(&object.value)?;
-        Ok(Some((object.revision.number(), record)))
+        Ok((answer.era, Some((object.revision, record))))
     }
 
     /// Writes the lease on weight orders: replaces it if it still has the expected revision, or creates it if none is
@@ -200,7 +200,7 @@
         &self,
         metrics: &Metrics,
         record: &Record,
-        expected: Option<Version>,
+        expected: Option<Revision>,
     ) -> Written {
         let call = match expected {
             None => Call::create_lease(record),
@@ -212,7 +212,7 @@
         {
             Ok(answer) => match Verdict::from(answer.status) {
                 Verdict::Done => match store::object(answer.era, &answer.body) {
-                    Ok(object) => Written::Done(object.revision.number()),
+                    Ok(object) => Written::Done(object.revision),
                     Err(error) => {
                         log::warn!("the store's answer to a write cannot be read: {error}");
                         Written::Unknown
