Keep servers that an older copy of the store lacks until they have returned

Cause: entries that are missing after an outage are kept for two seconds, but a restore without a failed call is none. Evidence: servers_that_a_copy_lacks_are_kept_until_they_have_returned failed before. Change: a later era of the store begins the same grace period, however the host learned of it. Measured: that test passes.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -516,6 +516,9 @@
         let era = self.store.era();
         let mut state = self.state.borrow_mut();
         if era > state.era {
+            if state.era > 0 {
+                state.directory.store_returned(self.now());
+            }
             state.era = era;
             self.metrics
                 .store_era
