Send no requests to gone servers whose entries an older copy has

Cause: the directory remembered which incarnations had said that they leave, not which were gone from the store. Change: incarnations that are gone are remembered, 1,024 of them.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -2,11 +2,14 @@
 //!
 //! A server that restarts under its old name is a new incarnation and inherits nothing from the old one. After an
 //! outage of the platform's store, missing entries are kept for a grace period, since live servers write theirs again.
+//! When the store has come back from an older copy, that copy may have entries of incarnations that are gone. Those get
+//! no requests during the grace period, in which what was written after the copy is written again.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, num::NonZeroUsize, time::Duration};
 
 use hashbrown::HashMap;
 use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
+use lru::LruCache;
 use smallvec::SmallVec;
 
 use crate::{
@@ -27,6 +30,8 @@
 /// A weights update counts as ended when no report has named it for this long. The lease holder reports it several
 /// times a second.
 const UPDATE_EXPIRY: Duration = Duration::from_millis(1_200);
+/// Number of gone incarnations that are remembered.
+const MAX_GONE: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
 
 jaystand_types::common! { data
     /// The directory entry that a server writes about itself.
@@ -69,6 +74,8 @@
     updating_until: Option<Moment>,
     /// Whether another server listens at its address.
     replaced: bool,
+    /// Whether the incarnation was gone, and its entry is back only since the store came back from an older copy.
+    doubted: bool,
     /// Whether it leaves or has asked for a pause.
     availability: Availability,
 }
@@ -88,16 +95,22 @@
         Removed,
         /// The entry is missing but may return.
         Missing,
+        /// The entry of a gone incarnation is back in an older copy of the store.
+        Doubted,
     }
 }
 
 /// All known servers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
     servers: HashMap<ServerName, Server>,
     names: HashMap<ServerKey, ServerName>,
     /// Until then missing entries are kept.
     grace_until: Moment,
+    /// Whether the grace period began because the store came back from an older copy.
+    restored: bool,
+    /// Incarnations that are gone.
+    gone: LruCache<ServerKey, ()>,
     /// Availability of incarnations that are not among the servers.
     archive: Archive,
     /// Limits of incarnations that have ended, for the next ones of their names. A server that starts again is still in
@@ -107,6 +120,21 @@
     fleet: Fleet,
 }
 
+impl Default for Directory {
+    fn default() -> Self {
+        Self {
+            servers: HashMap::new(),
+            names: HashMap::new(),
+            grace_until: Moment::ZERO,
+            restored: false,
+            gone: LruCache::new(MAX_GONE),
+            archive: Archive::default(),
+            former_limits: HashMap::new(),
+            fleet: Fleet::default(),
+        }
+    }
+}
+
 impl Entry {
     /// Returns the identity of the incarnation, which is equal on all hosts.
     #[must_use]
@@ -135,6 +163,7 @@
             missing_since: None,
             updating_until: None,
             replaced: false,
+            doubted: false,
             availability: Availability::default(),
         }
     }
@@ -143,7 +172,7 @@
     /// considered.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        !self.availability.leaves() && !self.replaced
+        !self.availability.leaves() && !self.replaced && !self.doubted
     }
 
     /// Returns the end of the pause that the server asked this host for, if the pause still lasts.
@@ -194,11 +223,17 @@
         self.grace_until = now + RETURN_GRACE;
     }
 
+    /// Records that the store has come back from an older copy: entries that are missing now may return, and those of gone
+    /// incarnations may be there again.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.store_returned(now);
+        self.restored = true;
+    }
+
     /// Adds an entry, or updates the known one.
     pub fn upsert(&mut self, mut entry: Entry) -> Change {
         let Some(server) = self.servers.get_mut(&entry.name) else {
-            self.insert(entry);
-            return Change::Added;
+            return self.insert(entry);
         };
         if entry.started_ms < server.entry.started_ms {
             // A late write of an older incarnation.
@@ -206,8 +241,7 @@
         }
         if entry.started_ms > server.entry.started_ms || entry.service != server.entry.service {
             self.forget(&entry.name);
-            self.insert(entry);
-            return Change::Added;
+            return self.insert(entry);
         }
         server.missing_since = None;
         // Within an incarnation a server does not return from leaving, and its weights versions only grow.
@@ -234,7 +268,7 @@
         let Some(server) = self.servers.get_mut(name) else {
             return Change::Nothing;
         };
-        if now < self.grace_until && !server.availability.leaves() {
+        if now < self.grace_until && !server.availability.leaves() && !server.doubted {
             server.missing_since.get_or_insert(now);
             return Change::Missing;
         }
@@ -257,6 +291,11 @@
         if now < self.grace_until {
             return Vec::new();
         }
+        if std::mem::take(&mut self.restored) {
+            for server in self.servers.values_mut() {
+                server.doubted = false;
+            }
+        }
         let missing = |server: &&Server| server.missing_since.is_some();
         let expired: Vec<ServerName> = self
             .servers
@@ -445,6 +484,7 @@
     fn forget(&mut self, name: &str) {
         if let Some(server) = self.servers.remove(name) {
             self.names.remove(&server.key);
+            self.gone.put(server.key, ());
             if server.limit().is_some() {
                 let name = server.entry.name.clone();
                 self.former_limits.insert(name, server.availability);
@@ -453,8 +493,9 @@
         }
     }
 
-    fn insert(&mut self, entry: Entry) {
+    fn insert(&mut self, entry: Entry) -> Change {
         let mut server = Server::new(entry);
+        server.doubted = self.gone.pop(&server.key).is_some() && self.restored;
         server.availability = self.archive.take(server.key);
         if let Some(former) = self.former_limits.remove(&server.entry.name) {
             server.availability.inherit_limit(&former);
@@ -474,7 +515,13 @@
                 server.replaced = true;
             }
         }
+        let change = if server.doubted {
+            Change::Doubted
+        } else {
+            Change::Added
+        };
         self.names.insert(server.key, server.entry.name.clone());
         self.servers.insert(server.entry.name.clone(), server);
+        change
     }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -517,7 +517,7 @@
         let mut state = self.state.borrow_mut();
         if era > state.era {
             if state.era > 0 {
-                state.directory.store_returned(self.now());
+                state.directory.store_restored(self.now());
             }
             state.era = era;
             self.metrics
@@ -760,6 +760,7 @@
         Change::Weights => "weights",
         Change::Removed => "removed",
         Change::Missing => "missing",
+        Change::Doubted => "returned with an older copy of the store",
     }
 }
 
