Do not prove keys by an older configuration than the one in force

Cause: a read of the configuration renewed the proof also when it returned an older version than the one in force. Change: a proof of an older version is ignored, be it from the store or from another host.

--- a/crates/dispatch/src/proof.rs
+++ b/crates/dispatch/src/proof.rs
@@ -57,8 +57,13 @@
             .is_none_or(|proven| now >= proven.at + period * OVERDUE_PERCENT / 100)
     }
 
-    /// Records that a version was the newest one at a time, or at a later one.
-    pub fn confirm(&mut self, version: Version, at: Moment) {
+    /// Records that a version was the newest one at a time, or at a later one, while a version is in force here. An older
+    /// version proves nothing: the store may have come back from a copy, and a later version that took keys away may be
+    /// lost until it is written again.
+    pub fn confirm(&mut self, version: Version, at: Moment, in_force: Version) {
+        if version < in_force {
+            return;
+        }
         if self.newest.is_none_or(|known| known.at < at) {
             self.newest = Some(Proven { version, at });
         }
--- a/crates/dispatch/tests/proof.rs
+++ b/crates/dispatch/tests/proof.rs
@@ -17,7 +17,7 @@
 fn without_the_store_keys_are_refused_before_the_bound() {
     let mut proof = Proof::new(Some(BOUND));
     assert!(!proof.accepts_keys(ms(0), 3));
-    proof.confirm(3, ms(1_000));
+    proof.confirm(3, ms(1_000), 3);
     assert!(proof.accepts_keys(ms(1_000), 3));
     assert!(proof.accepts_keys(ms(5_500), 3));
     assert!(!proof.accepts_keys(ms(6_000), 3));
@@ -29,7 +29,7 @@
 #[test]
 fn a_proof_of_a_newer_version_does_not_cover_the_one_in_force() {
     let mut proof = Proof::new(Some(BOUND));
-    proof.confirm(4, ms(1_000));
+    proof.confirm(4, ms(1_000), 3);
     assert!(!proof.accepts_keys(ms(1_100), 3));
     assert!(proof.accepts_keys(ms(1_100), 4));
 }
@@ -38,8 +38,8 @@
 #[test]
 fn the_newest_proof_counts() {
     let mut proof = Proof::new(Some(BOUND));
-    proof.confirm(4, ms(3_000));
-    proof.confirm(3, ms(1_000));
+    proof.confirm(4, ms(3_000), 3);
+    proof.confirm(3, ms(1_000), 3);
     assert_eq!(proof.newest(), Some((4, ms(3_000))));
     assert!(proof.accepts_keys(ms(7_000), 4));
 }
@@ -58,7 +58,7 @@
 fn keys_are_accepted_after_one_lost_read() {
     let mut proof = Proof::new(Some(BOUND));
     let period = proof.read_period().expect("a bound");
-    proof.confirm(3, ms(0));
+    proof.confirm(3, ms(0), 3);
     let lost_read = Duration::from_millis(900);
     assert!(proof.accepts_keys(period + lost_read + period, 3));
 }
@@ -70,8 +70,20 @@
     let mut proof = Proof::new(Some(BOUND));
     let period = proof.read_period().expect("a bound");
     assert!(proof.is_overdue(ms(0)));
-    proof.confirm(3, ms(0));
+    proof.confirm(3, ms(0), 3);
     assert!(!proof.is_overdue(period + ms(100)));
     assert!(proof.is_overdue(period * 2));
     assert!(proof.accepts_keys(period * 2, 3));
 }
+
+/// Guards against keys that an older configuration proves, which the store has again after it came back from a copy.
+#[test]
+fn an_older_version_than_the_one_in_force_proves_nothing() {
+    let mut proof = Proof::new(Some(BOUND));
+    proof.confirm(4, ms(1_000), 4);
+    proof.confirm(3, ms(4_000), 4);
+    assert_eq!(proof.newest(), Some((4, ms(1_000))));
+    assert!(!proof.accepts_keys(ms(6_000), 4));
+    proof.confirm(4, ms(6_000), 4);
+    assert!(proof.accepts_keys(ms(6_000), 4));
+}
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -389,8 +389,7 @@
         if let Some(at) = at {
             hub.state
                 .borrow_mut()
-                .proof
-                .confirm(confirmation.version, at);
+                .confirm_config(confirmation.version, at);
         }
     }
     for weights in &head.weights {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -248,7 +248,7 @@
     for object in objects.iter().filter(|object| is_config(&object.name)) {
         record_newest_change(hub, Kind::Config, object);
         if let Some(version) = hub.adopt_config(&object.value, "store") {
-            hub.state.borrow_mut().proof.confirm(version, asked_at);
+            hub.state.borrow_mut().confirm_config(version, asked_at);
         }
     }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -657,6 +657,12 @@
 }
 
 impl State {
+    /// Records that a version of the configuration was the newest one at a time.
+    pub(crate) fn confirm_config(&mut self, version: Version, at: Moment) {
+        let in_force = self.config.as_ref().map_or(0, |config| config.version());
+        self.proof.confirm(version, at, in_force);
+    }
+
     /// Returns whether this host is in touch with the store, directly or through another host.
     pub(crate) fn is_connected(&self) -> bool {
         self.config_feed.is_connected() && self.servers_feed.is_connected()
