Let the store of the soak come back from older copies

Change: a fault of its own random sequence, so that the other faults of a seed stay: the store is away for 0.7 s and comes back from a copy of 0.2 to 5 s before, and half a second later operator and servers write again what was lost. The soak checks as before that each fencing token has one holder, and that keys, weights and servers are the newest at the end.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -10,7 +10,7 @@
     ServerKey,
     directory::Server,
     health::Outcome,
-    lease::{Lease, Record, Step, Written},
+    lease::{Fence, Lease, Record, Step, Written},
     limit::{Call, Origin},
     revision::Revision,
     weights::{self, Update},
@@ -268,6 +268,11 @@
     });
 }
 
+/// Returns whether this process holds the lease with a fencing token.
+fn holds(lease: &RefCell<Lease>, fence: Fence) -> bool {
+    lease.borrow().held_fence(clock::since_boot()) == Some(fence)
+}
+
 /// Orders one server to load a weights version and waits until it serves it. Returns the result for logs and metrics.
 async fn update_server(hub: &Rc<Hub>, lease: &RefCell<Lease>, update: &Update) -> &'static str {
     // The number of accepted orders in the report before the last order, and when that order was sent.
@@ -330,16 +335,12 @@
             &name,
             engine::ORDER_METHOD,
             order,
-            || lease.borrow().held_fence(clock::since_boot()) == Some(fence),
+            || holds(lease, fence),
         )
         .await;
         let reply = match answer {
             Ok((status, _)) => engine::reply(status),
-            Err(Error::NotSent)
-                if lease.borrow().held_fence(clock::since_boot()) != Some(fence) =>
-            {
-                return "lease lost";
-            }
+            Err(Error::NotSent) if !holds(lease, fence) => return "lease lost",
             Err(Error::NotSent) => {
                 mark_unreachable(hub, update.server);
                 return "unreachable";
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -47,6 +47,12 @@
 const STOP_MARGIN: Duration = Duration::from_secs(1);
 /// Delay before a process that ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(700);
+/// Time after which the operator and the servers write again what the store has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(500);
+/// Kinds of the objects that they write.
+const WRITTEN_AGAIN: [&str; 3] = [CONFIG_OBJECT.0, SERVERS_KIND, WEIGHTS_KIND];
 /// The store entry of a killed server is removed after this time: three heartbeats.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(3);
 /// A server that announced its leaving still serves for this long.
@@ -237,6 +243,17 @@
                 self.store.set_watches_silent(false);
                 self.store.cut_watches();
             }
+            Fault::Restore => {
+                let copy = self.store.copy();
+                sleep(duration).await;
+                self.store.set_down(true);
+                sleep(RESTORE_TIME).await;
+                let lost = self.store.copy();
+                self.store.restore(&copy);
+                self.store.set_down(false);
+                sleep(REWRITE_TIME).await;
+                self.store.write_again(&WRITTEN_AGAIN, &lost, &copy);
+            }
             Fault::Weights => self.publish_weights(),
             Fault::Keys => {
                 let key = format!("key-{}", self.config_version.load(Ordering::SeqCst) + 1);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,6 +27,12 @@
 const LATEST_REFUSAL_MS: u64 = 6_000;
 /// Number of the random sequence of the refusals.
 const REFUSAL_SEQUENCE: u64 = 1 << 62;
+/// Mean time between two copies from which the store comes back.
+const MEAN_RESTORE_GAP_MS: u64 = 12_000;
+/// The store comes back from a copy that is taken this long before the last fault ends, before that end.
+const LATEST_RESTORE_MS: u64 = 7_000;
+/// Number of the random sequence of the copies.
+const RESTORE_SEQUENCE: u64 = 1 << 61;
 /// Longest duration of a fault.
 const MAX_FAULT_MS: u64 = 5_000;
 
@@ -71,6 +77,8 @@
         StoreLosesAnswers,
         /// Watches receive nothing for a while, and then the history is dropped.
         StoreForgets,
+        /// The store comes back from a copy that is as old as the fault is long.
+        Restore,
         /// A server sends copies of answers, fragments of events, and bytes without end.
         Babble(usize),
         /// A server names a limit for requests for some seconds.
@@ -139,10 +147,20 @@
         mean_gap_ms: MEAN_REFUSAL_GAP_MS,
         latest_ms: LATEST_REFUSAL_MS,
     };
+    let restores = Sequence {
+        number: RESTORE_SEQUENCE,
+        mean_gap_ms: MEAN_RESTORE_GAP_MS,
+        latest_ms: LATEST_RESTORE_MS,
+    };
     events.extend(limits.generate(seed, latest_end, |random| {
-        Fault::Limit(random.random_range(0..shape.servers))
+        let server = random.random_range(0..shape.servers);
+        (Fault::Limit(server), Duration::ZERO)
+    }));
+    events.extend(refusals.generate(seed, latest_end, |_| (Fault::Refuse, Duration::ZERO)));
+    events.extend(restores.generate(seed, latest_end, |random| {
+        let age = random.random_range(200..=MAX_FAULT_MS);
+        (Fault::Restore, Duration::from_millis(age))
     }));
-    events.extend(refusals.generate(seed, latest_end, |_| Fault::Refuse));
     events.sort_by_key(|event| event.start);
     events
 }
@@ -160,16 +178,17 @@
         &self,
         seed: u64,
         latest_end: u64,
-        draw: impl Fn(&mut Pcg64Mcg) -> Fault,
+        draw: impl Fn(&mut Pcg64Mcg) -> (Fault, Duration),
     ) -> Vec<Event> {
         let mut random = Pcg64Mcg::seed_from_u64(seed ^ self.number);
         let mut start = to_millis(WARM_UP) + random.random_range(0..self.mean_gap_ms / 2);
         let mut events = Vec::new();
         while start + self.latest_ms <= latest_end {
+            let (fault, duration) = draw(&mut random);
             events.push(Event {
                 start: Duration::from_millis(start),
-                duration: Duration::ZERO,
-                fault: draw(&mut random),
+                duration,
+                fault,
             });
             start += random.random_range(100..=2 * self.mean_gap_ms);
         }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -36,6 +36,6 @@
             kinds.insert(name.split('(').next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(kinds.len(), 16, "{kinds:?}");
+    assert_eq!(kinds.len(), 17, "{kinds:?}");
     assert!(overlaps > 100, "{overlaps}");
 }
