Log a fingerprint of what callers repeat

Cause: no line connected two requests that are the same for their caller. Change: a hash of route, path, team and body stands in the lines of servers that broke off and of the ends of requests. No logic was changed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -33,6 +33,7 @@
     pool::Pooled,
     relay,
     reply::Reply,
+    suspect::hash_name,
     ticket::{OpenRequest, Ticket},
 };
 
@@ -71,6 +72,8 @@
     prompt: Option<Prompt>,
     /// Ids of the shared parts of the prompt, which are hashed once.
     pub(crate) shared_parts: SmallVec<[PartId; 4]>,
+    /// Hash of what a caller who repeats the request sends again.
+    pub(crate) fingerprint: u64,
     arrived: Moment,
     /// Uses the clock that also runs while the host is suspended, because the caller's clock does.
     deadline: Moment,
@@ -157,7 +160,7 @@
     };
     let mut call = Call::new(&hub, arrived, id.unwrap_or_default(), admitted, parts);
     match call.read_body(body).await {
-        Ok(body) => call.body = body,
+        Ok(body) => call.set_body(body),
         Err(answer) => return *answer,
     }
     match call.route.delivery {
@@ -176,6 +179,7 @@
             salt: Salt::new(admitted.team.as_deref()),
             shared_parts: prompt.iter().flat_map(Prompt::shared_ids).collect(),
             prompt,
+            fingerprint: 0,
             deadline: clock::since_boot() + admitted.timeout,
             last_event: admitted.last_event,
             service: admitted.service,
@@ -216,6 +220,17 @@
         self.deadline.saturating_sub(clock::since_boot())
     }
 
+    fn set_body(&mut self, body: Bytes) {
+        let target = self.parts.uri.path_and_query();
+        self.fingerprint = prompt::hash_all(&[
+            self.route.name.as_bytes(),
+            target.map_or("", |target| target.as_str()).as_bytes(),
+            self.team.as_ref().map_or("", |team| &team.name).as_bytes(),
+            &body,
+        ]);
+        self.body = body;
+    }
+
     /// Reads the request's body. Fails with the answer to the caller if that is not possible.
     async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
         let hub = Rc::clone(&self.hub);
@@ -395,7 +410,7 @@
                 self.record_failure(server, Outcome::Broken);
                 self.record_crash(server);
                 log::info!(request = self.id.as_str(), server = self.server_name.as_str(), origin,
-                    parts = self.part_ids();
+                    parts = self.part_ids(), fingerprint = hash_name(self.fingerprint);
                     "connection broke before the answer: {error}");
                 return None;
             }
@@ -764,6 +779,7 @@
             most_pause_ms = self.route.pause.map_or(0, whole_ms),
             pause_ms = whole_ms(self.longest_pause),
             pieces = self.chunks,
+            fingerprint = hash_name(self.fingerprint),
             prompt = self.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens),
             total_ms = whole_ms(now.saturating_sub(self.arrived)),
             left_ms = whole_ms(self.time_left()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
     events::{EVENT_END, Splitter},
     meter::MeteredBody,
     reply::{Reply, Truncated},
+    suspect::hash_name,
 };
 
 /// Capacity of the channel to the caller, in chunks. While a slow caller keeps it full, the server is not read.
@@ -89,7 +90,8 @@
     if outcome == Outcome::Broken {
         call.record_crash(answer.pooled.server);
     }
-    log::info!(request = call.id.as_str(), server = call.server_name(), parts = call.part_ids();
+    log::info!(request = call.id.as_str(), server = call.server_name(), parts = call.part_ids(),
+        fingerprint = hash_name(call.fingerprint);
         "no first event of the stream: {reason}");
     None
 }
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -41,7 +41,7 @@
 impl Call {
     /// Returns the ids of the shared parts of the prompt for logs, in hexadecimal.
     pub(crate) fn part_ids(&self) -> String {
-        let ids: Vec<String> = self.shared_parts.iter().copied().map(part_name).collect();
+        let ids: Vec<String> = self.shared_parts.iter().copied().map(hash_name).collect();
         ids.join(",")
     }
 
@@ -58,7 +58,7 @@
             Verdict::Trial(part) if self.was_sent() => (part, self.time_left()),
             Verdict::Trial(_) | Verdict::Sound => return None,
         };
-        log::info!(request = self.id.as_str(), part = part_name(part), next_trial_ms = whole_ms(wait);
+        log::info!(request = self.id.as_str(), part = hash_name(part), next_trial_ms = whole_ms(wait);
             "not sent: a part of the prompt is suspected to crash servers");
         Some(Reason::SuspectedPart(wait))
     }
@@ -72,7 +72,7 @@
             .verdict(now, self.shared_parts.iter().copied())
         {
             state.suspicions.record_trial(now, part);
-            log::info!(request = self.id.as_str(), part = part_name(part);
+            log::info!(request = self.id.as_str(), part = hash_name(part);
                 "trial of a part that is suspected to crash servers");
             self.hub.report_now.notify_one();
         }
@@ -138,7 +138,7 @@
 /// Logs that a part is suspected from now on.
 pub(crate) fn log_suspected(suspicions: &Suspicions, part: PartId, source: &str) {
     let crashes = suspicions.crashes(part);
-    log::warn!(part = part_name(part), crashes, source;
+    log::warn!(part = hash_name(part), crashes, source;
         "a part of prompts is suspected to crash servers; requests with it are not sent, but for single trials");
 }
 
@@ -151,6 +151,7 @@
         .set(i64::try_from(suspected).unwrap_or(i64::MAX));
 }
 
-fn part_name(part: PartId) -> String {
-    format!("{part:016x}")
+/// Returns a hash as logs have it, in hexadecimal.
+pub(crate) fn hash_name(hash: u64) -> String {
+    format!("{hash:016x}")
 }
