Do not send requests that crash servers again and again

Cause: only shared parts of prompts were weighed. A request without a prompt has none, and the parts of one with a prompt are cleared by others that are answered. Crashes of whole answers were not recorded once their head had come. Change: a request is a subject as a part is, known by its fingerprint, and one module weighs both. Crashes under one suspected request count once against its parts. Trials are rare from the third crash of a request on, and hosts take turns with them. In virtual time, with repeats every 100 ms, fleets of 6, 63 and 295 hosts stay below the worst case that the test states, with at most 3 sends later than 3 s after the third crash.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -34,6 +34,8 @@
         Limited(Duration),
         /// A part of its prompt is suspected to crash servers; the next trial is due after this time.
         SuspectedPart(Duration),
+        /// It is suspected to crash servers itself; the next trial is due after this time.
+        SuspectedRequest(Duration),
         /// Every attempt was refused or did not reach its server.
         Attempts,
         /// Its body does not fit into the memory reserved for bodies.
@@ -59,6 +61,7 @@
             Self::Paused(_) => "servers_pause",
             Self::Limited(_) => "servers_limit",
             Self::SuspectedPart(_) => "suspected_part",
+            Self::SuspectedRequest(_) => "suspected_request",
             Self::Attempts => "attempts",
             Self::Memory => "memory",
             Self::Overload => "overload",
@@ -90,7 +93,10 @@
 pub fn retry_after(reason: Reason, expected: Option<Duration>, left: Duration) -> Duration {
     let wanted = match reason {
         Reason::Stopping => Duration::ZERO,
-        Reason::Paused(wait) | Reason::Limited(wait) | Reason::SuspectedPart(wait) => wait,
+        Reason::Paused(wait)
+        | Reason::Limited(wait)
+        | Reason::SuspectedPart(wait)
+        | Reason::SuspectedRequest(wait) => wait,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE_AFTER) / 2,
         // The retry may reach another host, which may have the proof.
         Reason::Attempts | Reason::Unproven => MIN_RETRY_AFTER,
--- a/crates/dispatch/src/suspicion.rs
+++ b/crates/dispatch/src/suspicion.rs
@@ -1,12 +1,14 @@
-//! Prompt parts that are suspected to crash the servers that begin to answer on them.
+//! Requests, and shared parts of prompts, that are suspected to crash the servers that begin to answer on them.
 //!
-//! When a server ends under a request that has no event of its answer yet, each shared part of its prompt may be the
-//! cause. A part is suspected when servers have ended under it at separate times and no request with it has been
-//! answered since; later, if one was answered before. Most parts of a crashed server's requests are cleared by the next
-//! answer anywhere. Hosts tell each other the crashes and the clearances, since each of them sees only a few.
+//! When a server ends under a request that has no event of its answer yet, the request itself or each shared part of its
+//! prompt may be the cause. A request is known again by its fingerprint, whatever its id. Such a subject is suspected when
+//! servers have ended under it at separate times and no request with it has been answered since; later, if one was
+//! answered before. Most subjects of a crashed server are cleared by the next answer anywhere. Crashes under one suspected
+//! request count once against the parts of its prompt: it explains them better, unless other requests with a part crash
+//! servers, too. Hosts tell each other the crashes and the clearances, since each of them sees only a few.
 //!
-//! Requests with a suspected part are refused, but for single trials at growing intervals: the part may be innocent, or
-//! mended.
+//! Requests with a suspected subject are refused, but for single trials at growing intervals: it may be innocent, or
+//! mended. Hosts take turns in an order of the subject, so that they do not all try at once.
 
 use std::{num::NonZeroUsize, time::Duration};
 
@@ -15,38 +17,58 @@
 use lru::LruCache;
 use smallvec::SmallVec;
 
-use crate::{ServerKey, prompt::PartId};
+use crate::{
+    ServerKey,
+    prompt::{self, PartId},
+};
 
 /// Servers that end within this time count as one event, such as a rack that loses power under all of their requests.
 const EVENT_TIME: Duration = Duration::from_millis(500);
-/// Crash events after which a part is suspected.
+/// Crash events after which a subject is suspected.
 const SUSPECT_EVENTS: usize = 2;
-/// The same for parts with which a request was answered before the crashes. The deadly part of the same requests is
+/// The same for subjects with which a request was answered before the crashes. The deadly part of the same requests is
 /// suspected first, and the others are answered without it.
 const SUSPECT_EVENTS_IF_ANSWERED: usize = 4;
-/// Number of parts of which it is known that requests with them were answered.
-const MAX_ANSWERED_PARTS: NonZeroUsize = NonZeroUsize::new(4_096).expect("not zero");
+/// Number of parts, and of requests, of which it is known that they were answered.
+const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(4_096).expect("not zero");
 /// Time from the second crash or a trial to the next trial. It doubles with each further crash.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(4);
-/// From this many crashes on, the delay is `LATE_TRIAL_DELAY`, which doubles as well. The users allow three requests
-/// after the fifth crash.
-const LATE_CRASHES: usize = 5;
+/// From this many crashes under a part on, the delay is `LATE_TRIAL_DELAY`, which doubles as well. The users allow three
+/// requests after the fifth crash.
+const LATE_PART_CRASHES: usize = 5;
+/// The same for a request. The users allow three sends after the third crash.
+const LATE_REQUEST_CRASHES: usize = 3;
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(60);
+/// Delay of a trial at the second, third and further hosts in the order of the subject. A trial is known everywhere sooner.
+const TRIAL_RANK_DELAY: Duration = Duration::from_millis(250);
+/// Longest sum of these delays.
+const MAX_TRIAL_RANK_DELAY: Duration = Duration::from_secs(10);
 /// Largest exponent of the doubling.
 const MAX_DOUBLINGS: usize = 6;
 /// Crashes and clearances are forgotten after this time.
 const RETENTION: Duration = Duration::from_secs(60 * 60);
 /// Clearances are reported for this long, since reports may be lost.
 const CLEARANCE_REPORTED_FOR: Duration = Duration::from_secs(10);
-/// Largest number of parts with crashes. Parts of fewer crashes are dropped first, so that requests with ever new parts
-/// do not displace the evidence against one that recurs.
-const MAX_PARTS: usize = 1_024;
-/// Largest number of crashes that are kept for a part.
+/// Largest number of subjects with crashes. Those of fewer crashes are dropped first, so that ever new requests do not
+/// displace the evidence against one that recurs.
+const MAX_SUBJECTS: usize = 1_024;
+/// Largest number of crashes that are kept for a subject.
 const MAX_CRASHES: usize = 16;
 /// Largest number of servers of which the newest answer is kept.
 const MAX_SERVERS: usize = 4_096;
 
+/// Hash of what a caller who repeats a request sends again, equal on all hosts.
+pub type Fingerprint = u64;
+
 jaystand_types::common! { value
+    /// What may crash servers.
+    pub enum Subject {
+        /// A shared part of prompts.
+        Part(PartId),
+        /// A request, whatever its id.
+        Request(Fingerprint),
+    }
+
     /// The end of a server under a request.
     pub struct Crash {
         /// The incarnation that ended.
@@ -57,13 +79,13 @@
 }
 
 jaystand_types::common! { data
-    /// What a host knows of a part, for other hosts. Times are ages.
+    /// What a host knows of a subject, for other hosts. Times are ages.
     pub struct Statement {
-        /// The part.
-        pub part: PartId,
-        /// Servers that ended under the part, with the time since then.
+        /// The subject.
+        pub subject: Subject,
+        /// Servers that ended under it, with the time since then.
         pub crashes: SmallVec<[(ServerKey, Duration); 4]>,
-        /// Time since a request with the part was last answered.
+        /// Time since a request with it was last answered.
         pub cleared: Option<Duration>,
         /// Time since the last trial.
         pub tried: Option<Duration>,
@@ -73,12 +95,12 @@
 jaystand_types::common! { value
     /// Whether a request may be sent.
     pub enum Verdict {
-        /// No part of it is suspected.
+        /// Nothing of it is suspected.
         Sound,
-        /// A part is suspected, and a trial is due.
-        Trial(PartId),
-        /// A part is suspected; the next trial is due after this time.
-        Suspected(PartId, Duration),
+        /// It is suspected, and a trial is due.
+        Trial(Subject),
+        /// It is suspected; the next trial is due after this time.
+        Suspected(Subject, Duration),
     }
 }
 
@@ -88,16 +110,19 @@
     crashes: SmallVec<[Crash; 4]>,
     cleared: Option<Moment>,
     tried: Option<Moment>,
-    /// Whether a request with the part was answered before the crashes.
+    /// Whether a request with the subject was answered before the crashes.
     was_answered: bool,
 }
 
-/// The evidence against all parts.
+/// The evidence against all subjects.
 #[derive(Clone, Debug)]
 pub struct Suspicions {
-    parts: HashMap<PartId, Evidence>,
-    /// Parts with which requests of this host were answered.
-    answered_parts: LruCache<PartId, ()>,
+    subjects: HashMap<Subject, Evidence>,
+    /// Servers that ended under a suspected request, with that request.
+    explained: HashMap<ServerKey, Fingerprint>,
+    /// Parts with which requests of this host were answered, and those requests.
+    answered_parts: LruCache<Subject, ()>,
+    answered_requests: LruCache<Subject, ()>,
     /// Send time of the newest request that each incarnation answered.
     answered: HashMap<ServerKey, Moment>,
 }
@@ -105,8 +130,10 @@
 impl Default for Suspicions {
     fn default() -> Self {
         Self {
-            parts: HashMap::new(),
-            answered_parts: LruCache::new(MAX_ANSWERED_PARTS),
+            subjects: HashMap::new(),
+            explained: HashMap::new(),
+            answered_parts: LruCache::new(MAX_ANSWERED),
+            answered_requests: LruCache::new(MAX_ANSWERED),
             answered: HashMap::new(),
         }
     }
@@ -136,10 +163,18 @@
         self.crashes.retain(|crash| crash.at > at);
     }
 
-    fn is_suspected(&self) -> bool {
+    /// Returns whether there were enough crash events. Those under one of the requests that explain crashes count once.
+    fn is_suspected(&self, explained: &HashMap<ServerKey, Fingerprint>) -> bool {
         let mut events = 0;
         let mut event_start: Option<Moment> = None;
+        let mut counted: SmallVec<[Fingerprint; 4]> = SmallVec::new();
         for crash in &self.crashes {
+            if let Some(request) = explained.get(&crash.server) {
+                if counted.contains(request) {
+                    continue;
+                }
+                counted.push(*request);
+            }
             if event_start.is_none_or(|start| crash.at >= start + EVENT_TIME) {
                 events += 1;
                 event_start = Some(crash.at);
@@ -153,13 +188,13 @@
         events >= enough
     }
 
-    /// Returns when the next trial is due.
-    fn next_trial(&self) -> Moment {
+    /// Returns when the next trial is due. From `late` crashes on the delay is long.
+    fn next_trial(&self, late: usize) -> Moment {
         let crashes = self.crashes.len();
-        let (delay, first) = if crashes < LATE_CRASHES {
+        let (delay, first) = if crashes < late {
             (FIRST_TRIAL_DELAY, SUSPECT_EVENTS)
         } else {
-            (LATE_TRIAL_DELAY, LATE_CRASHES)
+            (LATE_TRIAL_DELAY, late)
         };
         let doublings = crashes.saturating_sub(first).min(MAX_DOUBLINGS);
         let last = self.crashes.last().map(|crash| crash.at).max(self.tried);
@@ -173,28 +208,63 @@
     }
 }
 
+impl Subject {
+    /// Returns how long after it is due a host tries a request with this subject. `local` and `others` identify the hosts.
+    pub fn trial_delay(self, local: u64, others: impl Iterator<Item = u64>) -> Duration {
+        let (Self::Part(hash) | Self::Request(hash)) = self;
+        let weight = |host| prompt::mix(hash, host);
+        let before = others.filter(|other| weight(*other) < weight(local));
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        TRIAL_RANK_DELAY
+            .saturating_mul(rank)
+            .min(MAX_TRIAL_RANK_DELAY)
+    }
+
+    fn late_crashes(self) -> usize {
+        match self {
+            Self::Part(_) => LATE_PART_CRASHES,
+            Self::Request(_) => LATE_REQUEST_CRASHES,
+        }
+    }
+}
+
 impl Suspicions {
-    /// Records that a server ended, or seems to have, under a request that had no event of its answer. Returns the parts
-    /// that are suspected from now on.
+    /// Records that a server ended, or seems to have, under a request that had no event of its answer. Returns the
+    /// subjects that are suspected from now on.
     pub fn record_crash(
         &mut self,
         now: Moment,
         server: ServerKey,
-        parts: impl Iterator<Item = PartId>,
-    ) -> SmallVec<[PartId; 2]> {
+        subjects: impl Iterator<Item = Subject>,
+    ) -> SmallVec<[Subject; 2]> {
+        let before = self.all_suspected();
         let crash = Crash { server, at: now };
-        parts.filter(|part| self.add(*part, crash)).collect()
+        let mut concerned: SmallVec<[Subject; 4]> = SmallVec::new();
+        for subject in subjects {
+            self.add(subject, crash);
+            concerned.push(subject);
+        }
+        self.explain();
+        concerned
+            .into_iter()
+            .filter(|subject| self.is_suspected(*subject) && !before.contains(subject))
+            .collect()
     }
 
-    /// Records that a request with these parts was answered to its end.
-    pub fn record_answer(&mut self, now: Moment, parts: impl Iterator<Item = PartId>) {
-        for part in parts {
-            self.answered_parts.put(part, ());
-            if let Some(evidence) = self.parts.get_mut(&part) {
+    /// Records that a request with these subjects was answered to its end.
+    pub fn record_answer(&mut self, now: Moment, subjects: impl Iterator<Item = Subject>) {
+        let mut changed = false;
+        for subject in subjects {
+            self.answered_of(subject).put(subject, ());
+            if let Some(evidence) = self.subjects.get_mut(&subject) {
                 evidence.clear(now);
                 evidence.was_answered = true;
+                changed = true;
             }
         }
+        if changed {
+            self.explain();
+        }
     }
 
     /// Records that a server answered a request that was sent at a time. If it was thought to have ended before, only a
@@ -203,10 +273,16 @@
         let answered = self.answered.entry(server).or_default();
         *answered = sent.max(*answered);
         let answered = *answered;
-        for evidence in self.parts.values_mut() {
+        let mut changed = false;
+        for evidence in self.subjects.values_mut() {
+            let before = evidence.crashes.len();
             evidence
                 .crashes
                 .retain(|crash| crash.server != server || crash.at > answered);
+            changed |= evidence.crashes.len() != before;
+        }
+        if changed {
+            self.explain();
         }
         if self.answered.len() > MAX_SERVERS {
             let oldest = self.answered.iter().min_by_key(|(_, sent)| **sent);
@@ -216,42 +292,52 @@
         }
     }
 
-    /// Returns whether a request with these parts may be sent.
-    pub fn verdict(&self, now: Moment, parts: impl Iterator<Item = PartId>) -> Verdict {
+    /// Returns whether a request with these subjects may be sent. `trial_delay` returns how long after it is due this host
+    /// makes a trial.
+    pub fn verdict(
+        &self,
+        now: Moment,
+        subjects: impl Iterator<Item = Subject>,
+        trial_delay: impl Fn(Subject) -> Duration,
+    ) -> Verdict {
         let mut verdict = Verdict::Sound;
-        for part in parts {
-            let Some(evidence) = self.parts.get(&part).filter(|e| e.is_suspected()) else {
+        for subject in subjects {
+            if !self.is_suspected(subject) {
+                continue;
+            }
+            let Some(evidence) = self.subjects.get(&subject) else {
                 continue;
             };
-            let wait = evidence.next_trial().saturating_sub(now);
+            let due = evidence.next_trial(subject.late_crashes()) + trial_delay(subject);
+            let wait = due.saturating_sub(now);
             if !wait.is_zero() {
-                return Verdict::Suspected(part, wait);
+                return Verdict::Suspected(subject, wait);
             }
-            verdict = Verdict::Trial(part);
+            verdict = Verdict::Trial(subject);
         }
         verdict
     }
 
-    /// Records that a request with a suspected part is sent as a trial.
-    pub fn record_trial(&mut self, now: Moment, part: PartId) {
-        if let Some(evidence) = self.parts.get_mut(&part) {
+    /// Records that a request with a suspected subject is sent as a trial.
+    pub fn record_trial(&mut self, now: Moment, subject: Subject) {
+        if let Some(evidence) = self.subjects.get_mut(&subject) {
             evidence.tried = Some(now);
         }
     }
 
-    /// Returns the suspected parts.
-    pub fn suspected(&self) -> impl Iterator<Item = PartId> {
-        let suspected = self.parts.iter().filter(|(_, e)| e.is_suspected());
-        suspected.map(|(part, _)| *part)
+    /// Returns the suspected subjects.
+    pub fn suspected(&self) -> impl Iterator<Item = Subject> {
+        let known = self.subjects.keys().copied();
+        known.filter(|subject| self.is_suspected(*subject))
     }
 
-    /// Returns the number of servers that have ended under a part since it was last cleared.
+    /// Returns the number of servers that have ended under a subject since it was last cleared.
     #[must_use]
-    pub fn crashes(&self, part: PartId) -> usize {
-        self.parts.get(&part).map_or(0, |e| e.crashes.len())
+    pub fn crashes(&self, subject: Subject) -> usize {
+        self.subjects.get(&subject).map_or(0, |e| e.crashes.len())
     }
 
-    /// Returns what this host knows, for other hosts: the parts of most crashes first, and the newest among equal ones.
+    /// Returns what this host knows, for other hosts: the subjects of most crashes first, and the newest among equal ones.
     #[must_use]
     pub fn statements(&self, now: Moment, most: usize) -> Vec<Statement> {
         let is_news = |evidence: &Evidence| {
@@ -259,8 +345,8 @@
             !evidence.crashes.is_empty()
                 || cleared.is_some_and(|cleared| cleared + CLEARANCE_REPORTED_FOR > now)
         };
-        let mut known: Vec<(&PartId, &Evidence)> =
-            self.parts.iter().filter(|(_, e)| is_news(e)).collect();
+        let mut known: Vec<(&Subject, &Evidence)> =
+            self.subjects.iter().filter(|(_, e)| is_news(e)).collect();
         known.sort_unstable_by_key(|(_, evidence)| {
             std::cmp::Reverse((evidence.crashes.len(), evidence.newest()))
         });
@@ -268,8 +354,8 @@
         known
             .into_iter()
             .take(most)
-            .map(|(part, evidence)| Statement {
-                part: *part,
+            .map(|(subject, evidence)| Statement {
+                subject: *subject,
                 crashes: evidence
                     .crashes
                     .iter()
@@ -281,62 +367,109 @@
             .collect()
     }
 
-    /// Records what another host knows of a part. Returns the part if it is suspected from now on.
-    pub fn learn(&mut self, now: Moment, statement: &Statement) -> Option<PartId> {
+    /// Records what another host knows of a subject. Returns it if it is suspected from now on.
+    pub fn learn(&mut self, now: Moment, statement: &Statement) -> Option<Subject> {
         let at = |age: Duration| now.saturating_sub(age);
-        let part = statement.part;
-        let known = self.parts.get_mut(&part);
+        let subject = statement.subject;
+        let was_suspected = self.is_suspected(subject);
+        let mut changed = false;
+        let known = self.subjects.get_mut(&subject);
         if let (Some(evidence), Some(age)) = (known, statement.cleared) {
             evidence.clear(at(age));
             evidence.was_answered = true;
+            changed = true;
         }
-        let mut becomes_suspected = false;
         for (server, age) in &statement.crashes {
             let crash = Crash {
                 server: *server,
                 at: at(*age),
             };
-            becomes_suspected |= self.add(part, crash);
+            changed |= self.add(subject, crash);
         }
-        if let (Some(evidence), Some(age)) = (self.parts.get_mut(&part), statement.tried) {
+        if let (Some(evidence), Some(age)) = (self.subjects.get_mut(&subject), statement.tried) {
             evidence.tried = evidence.tried.max(Some(at(age)));
         }
-        becomes_suspected.then_some(part)
+        if changed {
+            self.explain();
+        }
+        (!was_suspected && self.is_suspected(subject)).then_some(subject)
     }
 
     /// Forgets old evidence.
     pub fn expire(&mut self, now: Moment) {
-        self.parts
+        let before = self.subjects.len();
+        self.subjects
             .retain(|_, evidence| evidence.newest() + RETENTION > now);
+        if self.subjects.len() != before {
+            self.explain();
+        }
     }
 
-    /// Adds a crash to a part, unless the server has answered since. Returns whether the part is suspected from now on.
-    fn add(&mut self, part: PartId, crash: Crash) -> bool {
+    /// Adds a crash to a subject, unless the server has answered since. Returns whether it was not known.
+    fn add(&mut self, subject: Subject, crash: Crash) -> bool {
         let answered = self.answered.get(&crash.server);
         if answered.is_some_and(|sent| *sent >= crash.at) {
             return false;
         }
-        if !self.parts.contains_key(&part) {
+        if !self.subjects.contains_key(&subject) {
             self.make_room();
         }
-        let was_answered = self.answered_parts.contains(&part);
-        let evidence = self.parts.entry(part).or_insert_with(|| Evidence {
+        let was_answered = self.answered_of(subject).contains(&subject);
+        let evidence = self.subjects.entry(subject).or_insert_with(|| Evidence {
             was_answered,
             ..Evidence::default()
         });
-        let was_suspected = evidence.is_suspected();
-        evidence.add(crash) && !was_suspected && evidence.is_suspected()
+        evidence.add(crash)
+    }
+
+    fn is_suspected(&self, subject: Subject) -> bool {
+        let Some(evidence) = self.subjects.get(&subject) else {
+            return false;
+        };
+        match subject {
+            Subject::Part(_) => evidence.is_suspected(&self.explained),
+            Subject::Request(_) => evidence.is_suspected(&HashMap::new()),
+        }
+    }
+
+    fn all_suspected(&self) -> SmallVec<[Subject; 4]> {
+        self.suspected().collect()
+    }
+
+    /// Records anew which crashes the suspected requests explain.
+    fn explain(&mut self) {
+        let suspected = self.subjects.iter().filter_map(|(subject, evidence)| {
+            let Subject::Request(request) = subject else {
+                return None;
+            };
+            evidence
+                .is_suspected(&HashMap::new())
+                .then_some((*request, evidence))
+        });
+        self.explained = suspected
+            .flat_map(|(request, evidence)| {
+                let servers = evidence.crashes.iter().map(|crash| crash.server);
+                servers.map(move |server| (server, request))
+            })
+            .collect();
+    }
+
+    fn answered_of(&mut self, subject: Subject) -> &mut LruCache<Subject, ()> {
+        match subject {
+            Subject::Part(_) => &mut self.answered_parts,
+            Subject::Request(_) => &mut self.answered_requests,
+        }
     }
 
-    /// Drops the part of the fewest crashes, and the oldest among equal ones, if there is no room for another one.
+    /// Drops the subject of the fewest crashes, and the oldest among equal ones, if there is no room for another one.
     fn make_room(&mut self) {
-        if self.parts.len() < MAX_PARTS {
+        if self.subjects.len() < MAX_SUBJECTS {
             return;
         }
         let weight = |evidence: &Evidence| (evidence.crashes.len(), evidence.newest());
-        let least = self.parts.iter().min_by_key(|(_, e)| weight(e));
-        if let Some(least) = least.map(|(part, _)| *part) {
-            self.parts.remove(&least);
+        let least = self.subjects.iter().min_by_key(|(_, e)| weight(e));
+        if let Some(least) = least.map(|(subject, _)| *subject) {
+            self.subjects.remove(&least);
         }
     }
 }
--- a/crates/dispatch/tests/suspicion.rs
+++ b/crates/dispatch/tests/suspicion.rs
@@ -4,7 +4,7 @@
 
 use jaystand_dispatch::{
     prompt::PartId,
-    suspicion::{Suspicions, Verdict},
+    suspicion::{Subject, Suspicions, Verdict},
 };
 use jaystand_types::Moment;
 use rand::{RngExt as _, SeedableRng as _};
@@ -16,9 +16,13 @@
 /// Most statements in a report.
 const REPORTED: usize = 16;
 
+fn parts(parts: &[PartId]) -> impl Iterator<Item = Subject> {
+    parts.iter().copied().map(Subject::Part)
+}
+
 /// Returns whether a request with one part may be sent, and records its trial if it is one.
 fn send(suspicions: &mut Suspicions, now: Moment, part: PartId) -> bool {
-    match suspicions.verdict(now, [part].into_iter()) {
+    match suspicions.verdict(now, parts(&[part]), |_| Moment::ZERO) {
         Verdict::Sound => true,
         Verdict::Trial(part) => {
             suspicions.record_trial(now, part);
@@ -29,7 +33,7 @@
 }
 
 fn crash(suspicions: &mut Suspicions, at: u64, server: u64, parts: &[PartId]) {
-    suspicions.record_crash(ms(at), server, parts.iter().copied());
+    suspicions.record_crash(ms(at), server, self::parts(parts));
 }
 
 /// Guards against crashes that go on because each of many hosts sees few of them, and against trials by all hosts at once.
@@ -63,7 +67,7 @@
             }
             let host = &mut fleet[random.random_range(0..hosts)];
             if send(host, ms(now), SHARED) {
-                host.record_answer(ms(now), [SHARED].into_iter());
+                host.record_answer(ms(now), parts(&[SHARED]));
             } else {
                 refused_shared += 1;
             }
@@ -89,7 +93,7 @@
         }
     }
     assert!((1..=3).contains(&trials.len()), "{trials:?}");
-    suspicions.record_answer(ms(1_000_000), [DEADLY].into_iter());
+    suspicions.record_answer(ms(1_000_000), parts(&[DEADLY]));
     assert!((0..10).all(|at| send(&mut suspicions, ms(1_000_001 + at), DEADLY)));
 }
 
@@ -112,7 +116,7 @@
     }
     for part in [SHARED, 3, 4] {
         assert_eq!(
-            suspicions.verdict(ms(60_000), [part].into_iter()),
+            suspicions.verdict(ms(60_000), parts(&[part]), |_| Moment::ZERO),
             Verdict::Sound,
             "part {part}"
         );
@@ -130,7 +134,7 @@
     for statement in &late {
         other.learn(ms(3_000), statement);
     }
-    one.record_answer(ms(3_500), [SHARED].into_iter());
+    one.record_answer(ms(3_500), parts(&[SHARED]));
     for statement in one.statements(ms(3_600), REPORTED) {
         other.learn(ms(3_600), &statement);
     }
@@ -143,9 +147,12 @@
     for statement in &old {
         other.learn(ms(3_700), statement);
     }
-    let verdict = |part| other.verdict(ms(3_800), [part].into_iter());
+    let verdict = |part| other.verdict(ms(3_800), parts(&[part]), |_| Moment::ZERO);
     assert_eq!(verdict(SHARED), Verdict::Sound);
-    assert!(matches!(verdict(3), Verdict::Suspected(3, _)));
+    assert!(matches!(
+        verdict(3),
+        Verdict::Suspected(Subject::Part(3), _)
+    ));
 }
 
 /// Guards against requests with ever new parts that displace the evidence against a deadly one.
@@ -158,10 +165,10 @@
     for part in 10..5_000 {
         crash(&mut suspicions, 4_000, 50, &[part]);
     }
-    assert_eq!(suspicions.crashes(DEADLY), 3);
+    assert_eq!(suspicions.crashes(Subject::Part(DEADLY)), 3);
     let reported = suspicions.statements(ms(5_000), REPORTED);
     assert_eq!(reported.len(), REPORTED);
-    assert_eq!(reported[0].part, DEADLY);
+    assert_eq!(reported[0].subject, Subject::Part(DEADLY));
 }
 
 /// Guards against a part that is no longer suspected because many crashes in a short time displace the earlier ones.
@@ -178,7 +185,7 @@
 #[test]
 fn a_part_that_was_answered_before_is_suspected_later() {
     let mut suspicions = Suspicions::default();
-    suspicions.record_answer(ms(0), [SHARED].into_iter());
+    suspicions.record_answer(ms(0), parts(&[SHARED]));
     for server in 0..3 {
         crash(
             &mut suspicions,
@@ -194,3 +201,133 @@
     }
     assert!(!send(&mut suspicions, ms(6_000), SHARED));
 }
+
+const REQUEST: Subject = Subject::Request(7);
+/// Time from a send to the crash of its server.
+const CRASH_MS: u64 = 50;
+/// Pause between the repeats of a request.
+const REPEAT_MS: u64 = 100;
+/// Time in which crashes count as one event.
+const EVENT_MS: u64 = 500;
+/// Hosts in touch know of the third crash after this time, and may send three times later.
+const STABLE_MS: u64 = 3_000;
+
+/// Guards against a request that comes again at any host, faster than reports arrive, and ends server after server: all
+/// sends of all hosts, and those after the third crash, are counted.
+///
+/// The second event comes at the first repeat whose crash is `EVENT_MS` after the first one. Until all hosts know it, and
+/// for the sends that are under way then, there are at most (`EVENT_MS` + `REPEAT_MS` + `CRASH_MS` + report time) /
+/// `REPEAT_MS` + 1 sends, whatever the number of hosts.
+#[test]
+fn hosts_stop_a_request_that_crashes_servers_together() {
+    for hosts in [6_u64, 63, 295] {
+        let mut random = Pcg64Mcg::seed_from_u64(35);
+        let mut fleet = vec![Suspicions::default(); usize::try_from(hosts).expect("few")];
+        let mut sends: Vec<u64> = Vec::new();
+        let mut under_way: Vec<(u64, usize)> = Vec::new();
+        let report_ms = 200 * hosts.div_ceil(64);
+        for now in (0..120_000).step_by(50) {
+            if now % report_ms == 0 {
+                // What all hosts tell is merged first, which keeps the work linear in their number.
+                let mut merged = Suspicions::default();
+                for host in &fleet {
+                    for statement in host.statements(ms(now), REPORTED) {
+                        merged.learn(ms(now), &statement);
+                    }
+                }
+                let told = merged.statements(ms(now), REPORTED);
+                for host in &mut fleet {
+                    for statement in &told {
+                        host.learn(ms(now), statement);
+                    }
+                }
+            }
+            under_way.retain(|(ends, host)| {
+                if *ends <= now {
+                    // Each incarnation that ends is another one, and so is each request's own part.
+                    let subjects = [REQUEST, Subject::Part(SHARED)];
+                    fleet[*host].record_crash(ms(now), now, subjects.into_iter());
+                }
+                *ends > now
+            });
+            let index = random.random_range(0..fleet.len());
+            let host = &mut fleet[index];
+            if now % REPEAT_MS == 0 {
+                let local = index as u64;
+                let others = (0..hosts).filter(move |other| *other != local);
+                let delay = |subject: Subject| subject.trial_delay(local, others.clone());
+                let verdict = host.verdict(ms(now), [REQUEST].into_iter(), delay);
+                if let Verdict::Trial(subject) = verdict {
+                    host.record_trial(ms(now), subject);
+                }
+                if !matches!(verdict, Verdict::Suspected(..)) {
+                    sends.push(now);
+                    under_way.push((now + CRASH_MS, index));
+                }
+            }
+        }
+        let first = (EVENT_MS + REPEAT_MS + CRASH_MS + report_ms) / REPEAT_MS + 1;
+        let known_at = sends[0] + EVENT_MS + REPEAT_MS + CRASH_MS + report_ms;
+        let burst = sends.iter().filter(|at| **at <= known_at).count() as u64;
+        assert!(
+            burst <= first,
+            "{hosts} hosts: {burst} sends, {first} allowed"
+        );
+        let later = sends
+            .iter()
+            .filter(|at| **at > sends[2] + CRASH_MS + STABLE_MS);
+        let later = later.count();
+        assert!(later <= 3, "{hosts} hosts: {later} later sends, {sends:?}");
+        // Its part is used by others, which are not refused.
+        let part = parts(&[SHARED]);
+        let verdict = fleet[0].verdict(ms(120_000), part, |_| Moment::ZERO);
+        assert_eq!(verdict, Verdict::Sound, "{hosts} hosts");
+    }
+}
+
+/// Guards against a part that crashes servers and is taken for innocent because each request with it crashes two servers
+/// and is suspected itself.
+#[test]
+fn a_part_is_suspected_when_several_suspected_requests_have_it() {
+    let mut suspicions = Suspicions::default();
+    let mut server = 0;
+    for request in 0..2 {
+        for repeat in 0..2 {
+            let at = ms(request * 5_000 + repeat * 1_000);
+            let subjects = [Subject::Request(request), Subject::Part(DEADLY)];
+            suspicions.record_crash(at, server, subjects.into_iter());
+            server += 1;
+        }
+        let suspected: Vec<_> = suspicions.suspected().collect();
+        assert_eq!(suspected.contains(&Subject::Part(DEADLY)), request == 1);
+    }
+}
+
+/// Guards against a request that is refused although it is answered all the time, since the servers that ended had many.
+#[test]
+fn a_request_that_is_answered_in_between_is_sound() {
+    let mut suspicions = Suspicions::default();
+    for server in 0..6 {
+        let at = server * 1_000;
+        suspicions.record_crash(ms(at), server, [REQUEST].into_iter());
+        assert_eq!(
+            suspicions.verdict(ms(at), [REQUEST].into_iter(), |_| Moment::ZERO),
+            Verdict::Sound
+        );
+        suspicions.record_answer(ms(at + 400), [REQUEST].into_iter());
+    }
+}
+
+/// Guards against evidence that is pushed out by a caller who makes ever new requests that crash servers once.
+#[test]
+fn ever_new_requests_push_out_no_evidence() {
+    let mut suspicions = Suspicions::default();
+    suspicions.record_crash(ms(0), 1, [REQUEST].into_iter());
+    suspicions.record_crash(ms(1_000), 2, [REQUEST].into_iter());
+    for number in 100..5_000 {
+        let subject = Subject::Request(number);
+        suspicions.record_crash(ms(1_000 + number), number, [subject].into_iter());
+    }
+    assert_eq!(suspicions.crashes(REQUEST), 2);
+    assert!(suspicions.suspected().any(|subject| subject == REQUEST));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -286,8 +286,11 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.record_outcome(server, Outcome::Broken);
-                log::info!(request = self.id.as_str(), server = self.server_name.as_str();
-                    "answer broke off: {error}");
+                if matches!(error, buffer::Error::Broken(_)) {
+                    self.record_crash(server);
+                }
+                log::info!(request = self.id.as_str(), server = self.server_name.as_str(),
+                    fingerprint = hash_name(self.fingerprint); "answer broke off: {error}");
                 return None;
             }
             Err(_) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) budget_hosts: IntGauge,
     /// Prompt parts that are suspected to crash servers.
     pub(crate) suspected_parts: IntGauge,
+    /// Requests that are suspected to crash servers.
+    pub(crate) suspected_requests: IntGauge,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
     /// Panics of the process's tasks, which started again.
@@ -119,6 +121,10 @@
                 "jaystand_suspected_parts",
                 "Prompt parts that are suspected to crash servers.",
             )?,
+            suspected_requests: gauge(
+                "jaystand_suspected_requests",
+                "Requests that are suspected to crash servers.",
+            )?,
             store_era: gauge(
                 "jaystand_store_era",
                 "Era of the store; it rises when the store comes back from an older copy.",
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -280,6 +280,8 @@
 impl Report {
     /// Returns the brief form of a report.
     fn brief(&self) -> Self {
+        let suspicions = self.suspicions.iter().filter(|entry| entry.is_recent());
+        let recent_suspicions = suspicions.cloned().collect();
         Self {
             incarnation: self.incarnation,
             era: self.era,
@@ -290,7 +292,7 @@
             parts: self.parts.clone(),
             departures: self.departures.clone(),
             limits: self.limits.clone(),
-            suspicions: self.suspicions.clone(),
+            suspicions: recent_suspicions,
             scope: Scope::Brief.into(),
             data_centre: self.data_centre.clone(),
             link: self.link,
