--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -94,7 +94,7 @@
     sole_heir_until: Moment,
     /// Whether to read the object although there is no work, since the store has just come back: the wait for a former
     /// holder begins with that.
-    must_look: bool,
+    read_due: bool,
     /// The latest known value of the object in this era, with its revision.
     seen: Option<(Revision, Record)>,
     /// When the object was last seen to change, or its holder last reported. Other hosts may take over from the holder
@@ -154,7 +154,7 @@
             era: 0,
             era_noticed_at: Moment::ZERO,
             sole_heir_until: Moment::ZERO,
-            must_look: false,
+            read_due: false,
             seen: None,
             changed_at: Moment::ZERO,
             is_current: false,
@@ -178,7 +178,7 @@
         } else {
             Moment::ZERO
         };
-        self.must_look = self.era != 0;
+        self.read_due = self.era != 0;
         self.era = era;
         self.era_noticed_at = now;
         self.seen = None;
@@ -205,7 +205,7 @@
             return;
         }
         self.is_current = true;
-        self.must_look = false;
+        self.read_due = false;
         let Some((revision, record)) = object else {
             return;
         };
@@ -264,7 +264,7 @@
         if now < self.not_before {
             return Step::Wait;
         }
-        if self.must_look && !self.is_current {
+        if self.read_due && !self.is_current {
             self.not_before = now + RETRY_DELAY;
             return Step::Read;
         }
