Derive the present lease and new suspicions in one place

Cause: reading the diff. Change: Lease::present, one question for each subject of a crash, and the host's identity only where a subject is suspected. No behaviour changes.

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -275,8 +275,7 @@
             self.not_before = now + RETRY_DELAY;
             return Step::Read;
         }
-        let in_era = |(_, record): &&(Revision, Record)| record.fence.era() == self.era;
-        let Some((revision, record)) = self.seen.as_ref().filter(in_era).cloned() else {
+        let Some((revision, record)) = self.present().cloned() else {
             if now < self.free_since(now, wanted, rank) {
                 return Step::Wait;
             }
@@ -316,6 +315,12 @@
         Step::Replace(revision, next)
     }
 
+    /// Returns the value of the object if it was written in the present era.
+    fn present(&self) -> Option<&(Revision, Record)> {
+        let seen = self.seen.as_ref();
+        seen.filter(|(_, record)| record.fence.era() == self.era)
+    }
+
     /// Returns when this process may take a lease of which the present era has no value.
     fn free_since(&self, now: Moment, wanted: Moment, rank: u32) -> Moment {
         if now < self.sole_heir_until {
@@ -422,9 +427,8 @@
     /// Returns the fencing token, while this process holds the lease.
     #[must_use]
     pub fn held_fence(&self, now: Moment) -> Option<Fence> {
-        let (_, record) = self.seen.as_ref()?;
-        let is_holder =
-            record.holder == self.name && record.fence.era() == self.era && now < self.usable_until;
+        let (_, record) = self.present()?;
+        let is_holder = record.holder == self.name && now < self.usable_until;
         is_holder.then_some(record.fence)
     }
 
--- a/crates/dispatch/src/suspicion.rs
+++ b/crates/dispatch/src/suspicion.rs
@@ -237,18 +237,17 @@
         server: ServerKey,
         subjects: impl Iterator<Item = Subject>,
     ) -> SmallVec<[Subject; 2]> {
-        let before = self.all_suspected();
         let crash = Crash { server, at: now };
-        let mut concerned: SmallVec<[Subject; 4]> = SmallVec::new();
+        let mut unsuspected: SmallVec<[Subject; 4]> = SmallVec::new();
         for subject in subjects {
+            if !self.is_suspected(subject) {
+                unsuspected.push(subject);
+            }
             self.add(subject, crash);
-            concerned.push(subject);
         }
         self.explain();
-        concerned
-            .into_iter()
-            .filter(|subject| self.is_suspected(*subject) && !before.contains(subject))
-            .collect()
+        let suspected_now = |subject: &Subject| self.is_suspected(*subject);
+        unsuspected.into_iter().filter(suspected_now).collect()
     }
 
     /// Records that a request with these subjects was answered to its end.
@@ -432,10 +431,6 @@
         }
     }
 
-    fn all_suspected(&self) -> SmallVec<[Subject; 4]> {
-        self.suspected().collect()
-    }
-
     /// Records anew which crashes the suspected requests explain.
     fn explain(&mut self) {
         let suspected = self.subjects.iter().filter_map(|(subject, evidence)| {
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -68,11 +68,10 @@
     }
 
     fn verdict(&self, state: &State, now: Moment) -> Verdict {
-        let local = host_id(self.hub.settings.borrow().listen.front.ip());
-        let hosts = state.hosts.iter().filter(|(_, host)| !host.stopping);
-        let others = hosts.map(|(address, _)| host_id(*address));
         state.suspicions.verdict(now, self.subjects(), |subject| {
-            subject.trial_delay(local, others.clone())
+            let local = host_id(self.hub.settings.borrow().listen.front.ip());
+            let others = state.hosts.iter().filter(|(_, host)| !host.stopping);
+            subject.trial_delay(local, others.map(|(address, _)| host_id(*address)))
         })
     }
 
