Split the checks of an answer out of the module of calls

Change: what decides whether an answer belongs to the request, and what becomes of a refusal, is in check.rs.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     admit::{self, Admitted, local_reply},
-    buffer, clock,
+    buffer, check, clock,
     hub::{Hub, RecentPart, whole_ms},
     link,
     meter::MeteredBody,
@@ -54,11 +54,6 @@
 const DEFAULT_PLAIN_OBJECTIVE: Duration = Duration::from_millis(400);
 /// Largest answer of a plain service: the same as the largest request body that the routing sheets allow.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// Largest body of a refusal that is read to its end so that the connection can be reused.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
-/// Timeout for reading the body of a refusal. The body arrives together with its head.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A caller's request with the state of its attempts.
 pub(crate) struct Call {
     pub(crate) hub: Rc<Hub>,
@@ -78,13 +73,13 @@
     /// Uses the clock that also runs while the host is suspended, because the caller's clock does.
     deadline: Moment,
     /// Servers that further attempts avoid.
-    tried: SmallVec<[ServerKey; 4]>,
+    pub(crate) tried: SmallVec<[ServerKey; 4]>,
     /// Name of the server of the latest attempt.
-    server_name: CompactString,
+    pub(crate) server_name: CompactString,
     /// Times that the request was sent.
     sends: u32,
     /// Number of sends after which the server may have run the request.
-    possible_runs: u32,
+    pub(crate) possible_runs: u32,
     /// Attempts in which no server could be reached.
     unreachable: u32,
     /// Expected time to the answer, or to the first event of a stream, at the chosen server.
@@ -133,16 +128,6 @@
     pub(crate) framed: bool,
 }
 
-/// What to do with an answer whose head was read.
-enum Verdict {
-    /// Pass it to the caller.
-    Forward,
-    /// Discard it and close its connection.
-    Discard,
-    /// Read it to its end, then try another server.
-    Drain,
-}
-
 /// Why no server answered a request.
 #[derive(Debug)]
 pub(crate) struct Failure {
@@ -448,9 +433,9 @@
             state.suspicions.record_alive(server, sent);
         }
         match self.check_answer(server, &head, pooled.reused) {
-            Verdict::Forward => {}
-            Verdict::Discard => return None,
-            Verdict::Drain => {
+            check::Verdict::Forward => {}
+            check::Verdict::Discard => return None,
+            check::Verdict::Drain => {
                 self.drain(pooled, &head, body);
                 return None;
             }
@@ -472,71 +457,8 @@
         })
     }
 
-    /// Checks that an answer comes from the server and belongs to this request, and records the outcome if not.
-    fn check_answer(&mut self, server: ServerKey, head: &response::Head, reused: bool) -> Verdict {
-        if head.identity == Identity::Other {
-            self.record_failure(server, Outcome::Broken);
-            self.hub.pool.close_idle(server);
-            log::warn!(request = self.id.as_str(), server = self.server_name.as_str();
-                "the answer belongs to another request; connection closed");
-            return Verdict::Discard;
-        }
-        if head.not_run && head.identity == Identity::Missing && reused {
-            // It may be a late copy of a refusal of an earlier request, while the server runs this one.
-            self.record_failure(server, Outcome::Broken);
-            self.hub.pool.close_idle(server);
-            log::warn!(request = self.id.as_str(), server = self.server_name.as_str();
-                "a refusal without an identity on a reused connection proves nothing; connection closed");
-            return Verdict::Discard;
-        }
-        if head.not_run {
-            self.possible_runs -= 1;
-            let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-            if misdirected && head.server.as_ref().is_some_and(|s| *s != self.server_name) {
-                self.hub.mark_replaced(server, "answer");
-            }
-            // A 421 of the intended server means that its weights have changed. Any other 421 means that the server is
-            // no longer at its address.
-            let outcome = if misdirected && head.server.as_ref() != Some(&self.server_name) {
-                Outcome::Unreachable
-            } else {
-                Outcome::Busy
-            };
-            self.record_failure(server, outcome);
-            log::info!(request = self.id.as_str(), server = self.server_name.as_str(),
-                status = head.status.as_u16(), answered_by = head.server.as_deref().unwrap_or_default();
-                "the server refused the request");
-            return Verdict::Drain;
-        }
-        let genuine = head.sealed && head.identity == Identity::Matching && !head.encoded;
-        if head.status.is_success() && !genuine {
-            self.record_failure(server, Outcome::Broken);
-            log::warn!(request = self.id.as_str(), server = self.server_name.as_str(),
-                sealed = head.sealed, encoded = head.encoded;
-                "the answer lacks a signature or the request id, or its body is encoded; connection closed");
-            return Verdict::Discard;
-        }
-        self.tried.push(server);
-        Verdict::Forward
-    }
-
-    /// Reads a refusal to its end in a task, so that the connection can be reused.
-    fn drain(&self, pooled: Pooled, head: &response::Head, body: MeteredBody) {
-        if head.closes {
-            return;
-        }
-        let (hub, idle) = (Rc::clone(&self.hub), head.idle_timeout);
-        tokio::task::spawn_local(async move {
-            // If the body is larger or slower, the connection is closed instead.
-            let read = hub.buffers.collect(body, MAX_REFUSAL_BYTES);
-            if matches!(timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
-                hub.return_connection(pooled, idle).await;
-            }
-        });
-    }
-
     /// Records a failed attempt. The request is not sent to this server again.
-    fn record_failure(&mut self, server: ServerKey, outcome: Outcome) {
+    pub(crate) fn record_failure(&mut self, server: ServerKey, outcome: Outcome) {
         self.tried.push(server);
         self.record_outcome(server, outcome);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod buffer;
 mod call;
+mod check;
 mod clock;
 mod copy;
 mod entries;
