--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -65,12 +65,6 @@
         Ok(Self { child })
     }
 
-    /// Sends a signal by the name that `kill` knows.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
-    }
-
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
@@ -83,7 +77,11 @@
         if let Ok(stream) = std::net::TcpStream::connect(address) {
             let mut connection = Connection::new(stream);
             let sent = connection.write("GET /v1/readyz HTTP/1.1\r\nhost: a\r\n\r\n");
-            if sent.is_ok() && connection.read().is_ok_and(|answer| answer.word(1) == "200") {
+            if sent.is_ok()
+                && connection
+                    .read()
+                    .is_ok_and(|answer| answer.word(1) == "200")
+            {
                 return true;
             }
         }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod engine;
+mod fleet;
 mod gateway;
 mod http;
 mod partition;
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -4,10 +4,7 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -27,36 +24,18 @@
     objects: Arc<(Mutex<Objects>, Condvar)>,
 }
 
-/// One address of the store. Each gateway has its own, so that the store can turn one of them away.
-#[derive(Clone, Default)]
-pub struct Door {
-    refuses: Arc<AtomicBool>,
-}
-
-impl Door {
-    /// Answers every call with 503, and the waiting watches too, while set.
-    pub fn set_refuses(&self, refuses: bool) {
-        self.refuses.store(refuses, Ordering::SeqCst);
-    }
-
-    fn refuses(&self) -> bool {
-        self.refuses.load(Ordering::SeqCst)
-    }
-}
-
 impl Store {
     /// Listens at one more address.
-    pub fn listen(&self, address: SocketAddr) -> io::Result<Door> {
+    pub fn listen(&self, address: SocketAddr) -> io::Result<()> {
         let listener = TcpListener::bind(address)?;
-        let (store, door) = (self.clone(), Door::default());
-        let opened = door.clone();
+        let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, door) = (store.clone(), opened.clone());
-                thread::spawn(move || store.serve(stream, &door));
+                let store = store.clone();
+                thread::spawn(move || store.serve(stream));
             }
         });
-        Ok(door)
+        Ok(())
     }
 
     /// Writes an object as the operator or a server does.
@@ -66,14 +45,11 @@
         self.objects.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream, door: &Door) {
+    fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
-            let (status, body) = if door.refuses() {
-                ("503 Service Unavailable", "{}".to_owned())
-            } else {
-                self.answer(request.word(0), request.word(1), &request.text(), door)
-            };
+            let (method, target) = (request.word(0), request.word(1));
+            let (status, body) = self.answer(method, target, &request.text());
             let headers = "content-type: application/json\r\nstore-era: 1\r\n";
             if connection.reply(status, headers, &body).is_err() {
                 return;
@@ -81,13 +57,7 @@
         }
     }
 
-    fn answer(
-        &self,
-        method: &str,
-        target: &str,
-        body: &str,
-        door: &Door,
-    ) -> (&'static str, String) {
+    fn answer(&self, method: &str, target: &str, body: &str) -> (&'static str, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let path = path.trim_start_matches("/v1/objects/");
         let (kind, name) = match path.split_once('/') {
@@ -101,7 +71,7 @@
         };
         match (method, name) {
             ("GET", None) => match parameter("watch") {
-                Some(after) => self.watch(kind, after, parameter("waitMs").unwrap_or(0), door),
+                Some(after) => self.watch(kind, after, parameter("waitMs").unwrap_or(0)),
                 None => ("200 OK", self.lock().list(kind)),
             },
             ("GET", Some(name)) => self.lock().read(kind, name),
@@ -141,13 +111,10 @@
         objects.read(kind, name)
     }
 
-    fn watch(&self, kind: &str, after: u64, wait_ms: u64, door: &Door) -> (&'static str, String) {
+    fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> (&'static str, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.lock();
         loop {
-            if door.refuses() {
-                return ("503 Service Unavailable", "{}".to_owned());
-            }
             let new = |(revision, of, _): &&(u64, String, String)| *revision > after && of == kind;
             let events: Vec<&str> = objects
                 .history
@@ -164,10 +131,7 @@
                     format!("{{\"events\":[{text}],\"asOf\":{revision}}}"),
                 );
             }
-            let waited = self
-                .objects
-                .1
-                .wait_timeout(objects, left.min(Duration::from_millis(50)));
+            let waited = self.objects.1.wait_timeout(objects, left);
             objects = waited.expect("not poisoned").0;
         }
     }
