review: a raised grace does not reach the stop

Callers of a gateway that is stopped as planned lose orders and streams that servers run: after a reload that raises the grace from 4 to 8 s, the gateway ends 3.9 s after SIGTERM. run_until in crates/gateway/src/run.rs stops with the grace of its start, not with the reloaded one.

--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -69,6 +69,7 @@
                 ready: SocketAddr::new(host, READY_PORT),
                 seeds: vec![seed],
                 store: door,
+                grace_s: 8,
             };
             fleet.gateways.push(Gateway::start(&settings, folder)?);
             if !gateway::wait_ready(settings.ready, Duration::from_secs(10)) {
@@ -165,7 +166,7 @@
     format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}")
 }
 
-fn config() -> String {
+pub fn config() -> String {
     format!(
         "{{\"version\":1,\"routes\":[{{\"name\":\"talk\",\"host\":\"desk.example\",\"pathPrefix\":\
          \"/talk/\",\"kind\":\"stream\",\"timeoutMs\":10000,\"sloMs\":600,\
--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -24,6 +24,7 @@
     pub ready: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub store: SocketAddr,
+    pub grace_s: u32,
 }
 
 pub struct Gateway {
@@ -37,24 +38,33 @@
     }
 }
 
-impl Gateway {
-    pub fn start(settings: &Settings, folder: &Path) -> io::Result<Self> {
-        let seeds: Vec<String> = settings.seeds.iter().map(|s| format!("\"{s}\"")).collect();
+impl Settings {
+    /// Writes the settings file and returns its path.
+    pub fn write(&self, folder: &Path) -> io::Result<PathBuf> {
+        let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
             "host = \"{}\"\ndata_centre = \"{}\"\npeer_port = {PEER_PORT}\nbootstrap = true\n\
              seeds = [{}]\n[listen]\nfront = \"{}\"\nready = \"{}\"\n[limits]\nmemory_mb = 110\n\
-             link_mbps = 1000.0\n[store]\naddress = \"{}\"\n[bounds]\ngrace_s = 8\n\
+             link_mbps = 1000.0\n[store]\naddress = \"{}\"\n[bounds]\ngrace_s = {}\n\
              lease_ms = 3000\nweights_ms = 8000\nretry_ratio = 0.2\nretry_slack = 56\n\
              retry_window_s = 10\nstrict_revoke = false\nrevoke_ms = 5000\n",
-            settings.host,
-            settings.data_centre,
+            self.host,
+            self.data_centre,
             seeds.join(","),
-            settings.front,
-            settings.ready,
-            settings.store,
+            self.front,
+            self.ready,
+            self.store,
+            self.grace_s,
         );
-        let path: PathBuf = folder.join(format!("{}.toml", settings.host));
+        let path = folder.join(format!("{}.toml", self.host));
         std::fs::write(&path, text)?;
+        Ok(path)
+    }
+}
+
+impl Gateway {
+    pub fn start(settings: &Settings, folder: &Path) -> io::Result<Self> {
+        let path = settings.write(folder)?;
         let log = File::create(folder.join(format!("{}.log", settings.host)))?;
         let child = Command::new(PROGRAM)
             .env("JAYSTAND_SETTINGS", &path)
@@ -65,6 +75,13 @@
         Ok(Self { child })
     }
 
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-s", name, &id]).status()?;
+        Ok(())
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -89,6 +89,29 @@
         Ok(message)
     }
 
+    /// Reads a body in chunks to its end, and fails if it breaks off.
+    pub fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let end = loop {
+                if let Some(end) = find(&self.bytes, b"\r\n") {
+                    break end;
+                }
+                self.fill()?;
+            };
+            let size = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
+            let size = usize::from_str_radix(size.trim(), 16).map_err(io::Error::other)?;
+            while self.bytes.len() < end + 2 + size + 2 {
+                self.fill()?;
+            }
+            body.extend_from_slice(&self.bytes[end + 2..end + 2 + size]);
+            self.bytes.drain(..end + 2 + size + 2);
+            if size == 0 {
+                return Ok(body);
+            }
+        }
+    }
+
     pub fn write(&mut self, text: &str) -> io::Result<()> {
         self.stream.write_all(text.as_bytes())
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,13 +2,17 @@
 //!
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod caller;
+mod deadly;
 mod engine;
 mod fleet;
 mod gateway;
+mod grace;
 mod http;
 mod partition;
 mod peers;
 mod record;
+mod server;
 mod store;
 
 use std::{
@@ -42,6 +46,8 @@
         let record = Record::create(path.as_ref())?;
         match case.as_str() {
             "partition" => partition::run(trouble, &record, &folder, address),
+            "grace" => grace::run(trouble, &record, &folder, address),
+            "deadly" => deadly::run(trouble, &record, &folder, address),
             _ => Ok(Verdict::NotRun(format!("no case `{case}`"))),
         }
     });
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -45,6 +45,19 @@
         self.objects.1.notify_all();
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut objects = self.lock();
+        objects.revision += 1;
+        let revision = objects.revision;
+        objects.values.remove(&(kind.to_owned(), name.to_owned()));
+        let event = format!(
+            "{{\"removed\":true,\"object\":{{\"metadata\":{{\"name\":\"{name}\",\"rev\":{revision}}}}}}}"
+        );
+        objects.history.push((revision, kind.to_owned(), event));
+        self.objects.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
