review: hosts that follow a relay lose servers whose entries return

Callers of five of six gateways get 503 for good, and the platform sees them not ready, after the entries of live servers expired and came back while the store was silent for 4 s. Copies for followers name such entries as changed and as removed, and apply_copy in crates/gateway/src/copy.rs removes them last.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -12,6 +12,7 @@
 mod partition;
 mod peers;
 mod record;
+mod relay;
 mod server;
 mod store;
 
@@ -46,6 +47,7 @@
         let record = Record::create(path.as_ref())?;
         match case.as_str() {
             "partition" => partition::run(trouble, &record, &folder, address),
+            "relay" => relay::run(trouble, &record, &folder, address),
             "grace" => grace::run(trouble, &record, &folder, address),
             "deadly" => deadly::run(trouble, &record, &folder, address),
             _ => Ok(Verdict::NotRun(format!("no case `{case}`"))),
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,6 +25,7 @@
 #[derive(Clone, Default)]
 pub struct Store {
     objects: Arc<(Mutex<Objects>, Condvar)>,
+    silent: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -45,16 +49,39 @@
         self.objects.1.notify_all();
     }
 
+    /// Answers nothing while set. Calls and watches wait, and go on afterwards.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+        self.objects.1.notify_all();
+    }
+
+    fn wait_while_silent(&self) {
+        while self.silent.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Lets all objects of a kind expire, and their writers write them again at once.
+    pub fn expire_and_return(&self, kind: &str) {
+        let mut objects = self.lock();
+        let known: Vec<(String, String)> = objects
+            .values
+            .iter()
+            .filter(|((of, _), _)| of == kind)
+            .map(|((_, name), (_, value))| (name.clone(), value.clone()))
+            .collect();
+        for (name, _) in &known {
+            objects.remove(kind, name);
+        }
+        for (name, value) in &known {
+            objects.write(kind, name, value);
+        }
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut objects = self.lock();
-        objects.revision += 1;
-        let revision = objects.revision;
-        objects.values.remove(&(kind.to_owned(), name.to_owned()));
-        let event = format!(
-            "{{\"removed\":true,\"object\":{{\"metadata\":{{\"name\":\"{name}\",\"rev\":{revision}}}}}}}"
-        );
-        objects.history.push((revision, kind.to_owned(), event));
+        objects.remove(kind, name);
         self.objects.1.notify_all();
     }
 
@@ -62,7 +89,9 @@
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
             let (method, target) = (request.word(0), request.word(1));
+            self.wait_while_silent();
             let (status, body) = self.answer(method, target, &request.text());
+            self.wait_while_silent();
             let headers = "content-type: application/json\r\nstore-era: 1\r\n";
             if connection.reply(status, headers, &body).is_err() {
                 return;
@@ -136,6 +165,13 @@
                 .map(|(.., event)| event.as_str())
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
+            if self.silent.load(Ordering::SeqCst) {
+                drop(events);
+                drop(objects);
+                self.wait_while_silent();
+                objects = self.lock();
+                continue;
+            }
             if !events.is_empty() || left.is_zero() {
                 let text = events.join(",");
                 let revision = objects.revision;
@@ -151,6 +187,16 @@
 }
 
 impl Objects {
+    fn remove(&mut self, kind: &str, name: &str) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.values.remove(&(kind.to_owned(), name.to_owned()));
+        let event = format!(
+            "{{\"removed\":true,\"object\":{{\"metadata\":{{\"name\":\"{name}\",\"rev\":{revision}}}}}}}"
+        );
+        self.history.push((revision, kind.to_owned(), event));
+    }
+
     fn write(&mut self, kind: &str, name: &str, value: &str) {
         self.revision += 1;
         let key = (kind.to_owned(), name.to_owned());
