--- a/review/standin/src/partition.rs
+++ b/review/standin/src/partition.rs
@@ -19,7 +19,7 @@
 /// The operator names new weights this often.
 const BUMP_PERIOD: Duration = Duration::from_millis(2_400);
 const CUTS: u32 = 5;
-const CUT_TIME: Duration = Duration::from_millis(6_000);
+const CUT_TIME: Duration = Duration::from_millis(5_700);
 const HEALED_TIME: Duration = Duration::from_millis(5_500);
 const STEP: Duration = Duration::from_millis(100);
 
