Let no other host take over a lease that its holder may still use

Cause: a host dated the lease to the last report that it had of the holder, so a holder that it could not hear, but that renewed the lease at the store, was taken over. An abandoned lease was renewed by its own holder, or made usable by a read that showed its late write, while others took its token as free; the same read revived a token that an engine had refused. Release and abandonment were announced while orders were still unanswered.

Change: a takeover replaces a revision that this host first saw at least the lease's duration ago; missing reports only make it read the object, so that the time of the last renewal is known. A token that was released, abandoned or refused is retired for good. Release and abandonment are announced after the last order was answered, and each order is registered right before it is sent. Each write has its own renewal number, so that a read shows which one took effect.

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -25,6 +25,12 @@
 const RANK_DELAY: Duration = Duration::from_millis(250);
 /// The same delay when the lease has no holder.
 const FREE_RANK_DELAY: Duration = Duration::from_millis(80);
+/// A holder that has not reported for this long, while there is work, may have renewed its lease since. Its object is
+/// then read, so that the time of the renewal is known when the holder turns out to be gone. Hosts report every 200 ms.
+const HOLDER_SILENCE: Duration = Duration::from_millis(300);
+/// Delay between these reads at the host of rank 0. The host of rank n waits n + 1 times as long, so that 300 hosts make
+/// 21 reads per second together.
+const SILENCE_READ_DELAY: Duration = Duration::from_millis(300);
 /// Delay before another call to the store, in which the result of the last one is awaited.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Share of the lease's duration, as a fraction, in which the holder relies on it. The rest covers the transmission of
@@ -97,8 +103,8 @@
     read_due: bool,
     /// The latest known value of the object in this era, with its revision.
     seen: Option<(Revision, Record)>,
-    /// When the object was last seen to change, or its holder last reported. Other hosts may take over from the holder
-    /// when the duration of the lease has passed since then.
+    /// When the latest known revision of the object was first seen. Other hosts may take over from the holder when the
+    /// duration of the lease has passed since then.
     changed_at: Moment,
     /// Whether `seen` is recent enough for a conditional write. Otherwise the object is read first.
     is_current: bool,
@@ -108,14 +114,23 @@
     pending: Option<(Moment, Record)>,
     /// No call to the store is due before this time.
     not_before: Moment,
+    /// No read of the object of a silent holder is due before this time.
+    next_silence_read: Moment,
     /// Until then this process may rely on the lease, if it is the holder.
     usable_until: Moment,
+    /// The greatest `renewal` of the records that this process has written. Each write has its own, so that a read shows
+    /// which of them took effect.
+    last_renewal: u64,
+    /// The greatest fencing token that this process has stopped using. Other hosts may use a greater one from then on.
+    retired_fence: Option<Fence>,
+    /// The fencing token of this process that it has abandoned, or releases, and that others do not know to be free yet.
+    leaving: Option<Fence>,
+    /// Number of orders that have been sent and not answered.
+    open_orders: usize,
     /// Fencing token whose holder has abandoned its lease.
     abandoned_fence: Option<Fence>,
     /// The fencing token of the last report of a holder, with the time of the report.
     last_report: Option<(Fence, Moment)>,
-    /// The greatest fencing token that an engine refused.
-    refused_fence: Option<Fence>,
 }
 
 impl Fence {
@@ -161,10 +176,14 @@
             wanted_since: None,
             pending: None,
             not_before: Moment::ZERO,
+            next_silence_read: Moment::ZERO,
             usable_until: Moment::ZERO,
+            last_renewal: 0,
+            retired_fence: None,
+            leaving: None,
+            open_orders: 0,
             abandoned_fence: None,
             last_report: None,
-            refused_fence: None,
         }
     }
 
@@ -185,6 +204,7 @@
         self.is_current = false;
         self.pending = None;
         self.usable_until = Moment::ZERO;
+        self.leaving = None;
         self.abandoned_fence = None;
         self.last_report = None;
     }
@@ -224,10 +244,8 @@
         if record.holder != self.name {
             self.usable_until = Moment::ZERO;
         }
-        // A holder whose reports to other hosts have stopped no longer renews, so its last report counts and not the
-        // time at which its last renewal was seen.
-        let reported = self.last_report.filter(|(fence, _)| *fence == record.fence);
-        self.changed_at = reported.map_or(now, |(_, at)| at.max(self.wanted_since.unwrap_or(now)));
+        // The renewal may be as recent as this read, whenever the holder last reported.
+        self.changed_at = now;
         self.seen = Some((revision, record));
     }
 
@@ -286,7 +304,7 @@
                 None => Step::Create(next),
             };
         };
-        let is_holder = record.holder == self.name && self.refused_fence < Some(record.fence);
+        let is_holder = self.is_own(&record);
         let is_free = record.holder.is_empty() || self.abandoned_fence == Some(record.fence);
         if is_free && !is_holder {
             if now < wanted + FREE_RANK_DELAY * rank {
@@ -298,14 +316,15 @@
                 return Step::Wait;
             }
         } else {
-            let holder_overdue = wanted + HOLDER_TIMEOUT + RANK_DELAY * rank;
-            if now < holder_overdue.max(self.changed_at + self.duration + RANK_DELAY * rank) {
-                return Step::Wait;
+            let heard = self.last_report_of(record.fence).max(wanted);
+            let due = (heard + HOLDER_TIMEOUT).max(self.changed_at + self.duration);
+            if now < due + RANK_DELAY * rank {
+                return self.watch_silent_holder(now, heard, rank);
             }
         }
         let next = if is_holder {
             Record {
-                renewal: record.renewal + 1,
+                renewal: self.next_renewal(&record),
                 ..record
             }
         } else {
@@ -315,6 +334,33 @@
         Step::Replace(revision, next)
     }
 
+    /// Returns the step of a host that waits for the lease of another one, of which it last heard at a time.
+    fn watch_silent_holder(&mut self, now: Moment, heard: Moment, rank: u32) -> Step {
+        if now < (heard + HOLDER_SILENCE).max(self.next_silence_read) {
+            return Step::Wait;
+        }
+        self.next_silence_read = now + SILENCE_READ_DELAY * rank.saturating_add(1);
+        Step::Read
+    }
+
+    /// Returns when the holder of a fencing token last reported.
+    fn last_report_of(&self, fence: Fence) -> Moment {
+        let report = self.last_report.filter(|(reported, _)| *reported == fence);
+        report.map_or(Moment::ZERO, |(_, at)| at)
+    }
+
+    /// Returns whether a value is one of this process with a fencing token that it still uses.
+    fn is_own(&self, record: &Record) -> bool {
+        record.holder == self.name
+            && self.retired_fence < Some(record.fence)
+            && self.abandoned_fence != Some(record.fence)
+    }
+
+    /// Returns the number of the next write, after the given value.
+    fn next_renewal(&self, record: &Record) -> u64 {
+        record.renewal.max(self.last_renewal) + 1
+    }
+
     /// Returns the value of the object if it was written in the present era.
     fn present(&self) -> Option<&(Revision, Record)> {
         let seen = self.seen.as_ref();
@@ -350,13 +396,13 @@
     /// than the revision.
     fn next_record(&self) -> Record {
         let (fence, renewal) = match &self.seen {
-            None => (Fence::new(self.era, 1), 1),
+            None => (Fence::new(self.era, 1), self.last_renewal + 1),
             Some((_, record)) if record.fence.era() == self.era => {
-                (record.fence.next(), record.renewal + 1)
+                (record.fence.next(), self.next_renewal(record))
             }
             Some((revision, record)) => (
                 Fence::new(self.era, revision.number() + 1),
-                record.renewal + 1,
+                self.next_renewal(record),
             ),
         };
         Record {
@@ -366,18 +412,29 @@
         }
     }
 
-    /// Releases the lease, so that another host need not wait until it expires. Returns the write that does so.
+    /// Stops using the lease and returns the write that releases it, so that another host need not wait until it expires.
+    /// While orders have not been answered, returns that nothing is to be done yet.
     pub fn release(&mut self, now: Moment) -> Step {
-        let is_holder = self.held_fence(now).is_some();
-        self.usable_until = Moment::ZERO;
-        let Some((revision, record)) = self.seen.clone().filter(|_| is_holder) else {
+        if let Some(fence) = self.held_fence(now) {
+            self.retire(fence);
+            self.leaving = Some(fence);
+        }
+        if self.open_orders > 0 {
+            return Step::Wait;
+        }
+        let left = self.leaving.take();
+        let Some((revision, record)) = self.present().cloned() else {
             return Step::Wait;
         };
+        if left != Some(record.fence) || record.holder != self.name {
+            return Step::Wait;
+        }
         let released = Record {
             holder: CompactString::default(),
-            renewal: record.renewal + 1,
+            renewal: self.next_renewal(&record),
             ..record
         };
+        self.last_renewal = released.renewal;
         Step::Replace(revision, released)
     }
 
@@ -389,11 +446,13 @@
             // A host that has not noticed the present era, and gives orders until it does.
             return;
         }
-        let is_known = |(seen, _): &(Revision, Record)| seen.supersedes(revision);
-        if !self.seen.as_ref().is_some_and(is_known) {
+        let seen = self.seen.as_ref().map(|(seen, _)| *seen);
+        if seen.is_none_or(|seen| revision.supersedes(seen)) {
             self.seen = Some((revision, record));
             self.changed_at = now;
             self.is_current = true;
+        } else if seen == Some(revision) {
+            self.is_current = true;
         }
     }
 
@@ -405,13 +464,42 @@
         Some((*revision, record))
     }
 
-    /// Stops using the lease without a write, since the store cannot be reached. Returns the fencing token of the
-    /// lease, which another host may take over at once.
+    /// Stops using the lease without a write, since the store cannot be reached. Its fencing token is not used again,
+    /// also if the object shows later that a write took effect. Returns the token.
     pub fn abandon(&mut self, now: Moment) -> Option<Fence> {
         let fence = self.held_fence(now)?;
+        self.retire(fence);
+        self.leaving = Some(fence);
+        Some(fence)
+    }
+
+    /// Returns the fencing token that this process has abandoned once its last order has been answered. Other hosts may
+    /// then take the lease over at once.
+    pub fn take_abandoned(&mut self) -> Option<Fence> {
+        if self.open_orders > 0 {
+            return None;
+        }
+        self.leaving.take()
+    }
+
+    /// Records that an order with a fencing token is about to be sent. Returns false, and records nothing, if this process
+    /// does not hold the lease with this token.
+    pub fn begin_order(&mut self, now: Moment, fence: Fence) -> bool {
+        let holds = self.held_fence(now) == Some(fence);
+        self.open_orders += usize::from(holds);
+        holds
+    }
+
+    /// Records that an order was answered, or that its connection was closed.
+    pub fn end_order(&mut self) {
+        self.open_orders = self.open_orders.saturating_sub(1);
+    }
+
+    /// Stops using a fencing token for good.
+    fn retire(&mut self, fence: Fence) {
+        self.retired_fence = self.retired_fence.max(Some(fence));
         self.usable_until = Moment::ZERO;
         self.is_current = false;
-        Some(fence)
     }
 
     /// Records that the holder of a fencing token has abandoned its lease.
@@ -428,21 +516,20 @@
     #[must_use]
     pub fn held_fence(&self, now: Moment) -> Option<Fence> {
         let (_, record) = self.present()?;
-        let is_holder = record.holder == self.name && now < self.usable_until;
+        let is_holder = self.is_own(record) && now < self.usable_until;
         is_holder.then_some(record.fence)
     }
 
     /// Stops using the lease because an engine has seen a greater fencing token than the given one, which is not used
     /// again.
     pub fn mark_fenced_off(&mut self, fence: Fence) {
-        self.refused_fence = self.refused_fence.max(Some(fence));
-        self.usable_until = Moment::ZERO;
-        self.is_current = false;
+        self.retire(fence);
     }
 
     /// Records that a write is sent.
     fn begin_write(&mut self, now: Moment, record: &Record) {
         self.pending = Some((now, record.clone()));
+        self.last_renewal = record.renewal;
         // The next step waits for the result of this write.
         self.not_before = now + RETRY_DELAY;
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -82,6 +82,7 @@
         if let Some(fence) = hub.abandoned_fence.get() {
             lease.borrow_mut().observe_abandoned(fence);
         }
+        publish_abandoned(&hub, &lease);
         refresh_updating_marks(&hub);
         if hub.is_stopping() {
             release_lease(&hub, &lease).await;
@@ -166,7 +167,7 @@
     }
 }
 
-/// Abandons the lease when this host cannot reach the store to renew it, so that another host can take it over at once.
+/// Abandons the lease when this host cannot reach the store to renew it.
 fn abandon_lease(hub: &Hub, lease: &RefCell<Lease>) {
     let cut_off = !hub.state.borrow().servers_feed.is_connected();
     if !cut_off {
@@ -174,12 +175,39 @@
     }
     if let Some(fence) = lease.borrow_mut().abandon(clock::since_boot()) {
         log::warn!(fence = u64::from(fence); "lease on weight orders abandoned: the store cannot be reached");
-        hub.abandoned_fence.set(Some(fence));
         *hub.held_lease.borrow_mut() = None;
+    }
+}
+
+/// Tells other hosts that this one has abandoned its lease, once its last order has been answered, so that another host
+/// can take it over at once.
+fn publish_abandoned(hub: &Hub, lease: &RefCell<Lease>) {
+    if let Some(fence) = lease.borrow_mut().take_abandoned() {
+        log::info!(fence = u64::from(fence); "abandoned lease on weight orders is free for other hosts");
+        lease.borrow_mut().observe_abandoned(fence);
+        hub.abandoned_fence
+            .set(hub.abandoned_fence.get().max(Some(fence)));
         hub.report_now.notify_one();
     }
 }
 
+/// An order that has been sent and not answered.
+struct OpenOrder<'a>(&'a RefCell<Lease>);
+
+impl<'a> OpenOrder<'a> {
+    /// Returns `None` if this process does not hold the lease with the fencing token of the order.
+    fn begin(lease: &'a RefCell<Lease>, fence: Fence) -> Option<Self> {
+        let holds = lease.borrow_mut().begin_order(clock::since_boot(), fence);
+        holds.then_some(Self(lease))
+    }
+}
+
+impl Drop for OpenOrder<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end_order();
+    }
+}
+
 /// Returns the number of live hosts that try for the lease before this one.
 fn lease_rank(hub: &Hub) -> u32 {
     let local_address = hub.settings.borrow().listen.front.ip();
@@ -335,7 +363,7 @@
             &name,
             engine::ORDER_METHOD,
             order,
-            || holds(lease, fence),
+            || OpenOrder::begin(lease, fence),
         )
         .await;
         let reply = match answer {
@@ -388,7 +416,7 @@
         name,
         Method::GET,
         Bytes::new(),
-        || true,
+        || Some(()),
     )
     .await
     {
@@ -447,16 +475,16 @@
     }
 }
 
-/// Makes one call to an engine: GET reads its report, any other method sends an order. `permitted` is checked right
-/// before the request is sent.
-async fn call_engine(
+/// Makes one call to an engine: GET reads its report, any other method sends an order. `begin` is called right before the
+/// request is sent. Nothing is sent if it returns `None`; otherwise its value is kept until the call has ended.
+async fn call_engine<T>(
     hub: &Rc<Hub>,
     server: ServerKey,
     address: SocketAddr,
     name: &str,
     method: Method,
     body: Bytes,
-    permitted: impl Fn() -> bool,
+    begin: impl FnOnce() -> Option<T>,
 ) -> Result<(StatusCode, Bytes), Error> {
     let (path, purpose) = if method == Method::GET {
         (engine::REPORT_PATH, Call::Report)
@@ -466,6 +494,8 @@
     while !hub.accepts_call(server, purpose) {
         sleep(VERSION_CHECK_PERIOD).await;
     }
+    // Declared before the connection, so that it is dropped after the connection.
+    let open;
     let mut pooled = match hub.pool.acquire(server, address, ANSWER_TIMEOUT).await {
         Ok(pooled) => pooled,
         Err(error) => {
@@ -474,7 +504,8 @@
         }
     };
     // The process may have been paused while it connected, and the lease may have run out.
-    if !permitted() {
+    open = begin();
+    if open.is_none() {
         log::warn!(server = name; "the lease on weight orders has run out; nothing is sent");
         hub.return_connection(pooled, None).await;
         return Err(Error::NotSent);
