Let copies of servers be one state, and notice diverged followers

Cause: an entry that was removed and written again between two copies was in the copy as changed and as removed. Followers applied the removals last, and their change number then equalled that of the followed host, so that they never got the entry again.

Change: dispatch::replica has the numbered changes. A removal is forgotten when the name returns, and followers apply removals first. Each copy has the count and a digest of all names, kept with each change; a follower whose names differ asks for the complete state, at most every 10 s. Hosts that do not send the digest are followed as before.

Tests of jaystand-dispatch and relays pass.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -286,6 +286,13 @@
             .collect()
     }
 
+    /// Returns the names of the servers of which the entry is missing but may return.
+    pub fn missing(&self) -> impl Iterator<Item = &ServerName> {
+        let servers = self.servers.values();
+        let missing = servers.filter(|server| server.missing_since.is_some());
+        missing.map(|server| &server.entry.name)
+    }
+
     /// Removes the servers whose entries did not return within the grace period, and returns their names.
     pub fn expire(&mut self, now: Moment) -> Vec<ServerName> {
         if now < self.grace_until {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod prompt;
 pub mod proof;
 pub mod reach;
+pub mod replica;
 pub mod report;
 pub mod revision;
 pub mod source;
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -1,6 +1,6 @@
 //! Copies of the store's objects, for hosts that follow another host instead of the store.
 //!
-//! Each host numbers the changes that it applies. A follower asks for the changes after the last one that it has; the
+//! A copy is one state at one change number. Each host numbers the changes that it applies. A follower asks for the changes after the last one that it has; the
 //! other host holds the query back until there is one. If the follower's number is of another run, it gets everything.
 
 use std::{
@@ -12,9 +12,15 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use http_body_util::Full;
-use jaystand_dispatch::{revision::Revision, source::Source, weights::Age};
+use jaystand_dispatch::{
+    replica::{self, Digest, Divergence, Replica},
+    revision::Revision,
+    source::Source,
+    weights::Age,
+};
 use jaystand_types::{Era, Model, Moment, ServerName, Version};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::{
     net::TcpListener,
     time::{sleep, timeout},
@@ -58,10 +64,37 @@
     servers_revision: Version,
     servers_changed: Version,
     removed: Vec<ServerName>,
+    /// All names of the state, by which followers notice that theirs differ; missing from hosts that do not know of it.
+    #[serde(default)]
+    names: Option<NamesDigest>,
     weights: Vec<NamedWeights>,
     proven: Option<Confirmation>,
 }
 
+#[derive(Clone, Copy, Serialize, Deserialize)]
+struct NamesDigest {
+    names: u64,
+    sum: u64,
+}
+
+impl From<Digest> for NamesDigest {
+    fn from(digest: Digest) -> Self {
+        Self {
+            names: digest.names,
+            sum: digest.sum,
+        }
+    }
+}
+
+impl From<NamesDigest> for Digest {
+    fn from(digest: NamesDigest) -> Self {
+        Self {
+            names: digest.names,
+            sum: digest.sum,
+        }
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 struct NamedWeights {
     model: Model,
@@ -165,14 +198,14 @@
     let state = hub.state.borrow();
     let loaded = state.config_feed.loaded && state.servers_feed.loaded;
     let lost = loaded && !state.is_connected_within(hub.now(), MAX_STORE_OUTAGE);
-    hub.is_stopping() || lost || (loaded && state.entries.newest_change() > after)
+    hub.is_stopping() || lost || (loaded && state.entries.log().newest() > after)
 }
 
 fn encode_changes_after(hub: &Hub, after: u64, arrived_at: Moment) -> std::io::Result<Vec<u8>> {
     let now = hub.now();
     let state = hub.state.borrow();
     let entries = &state.entries;
-    let complete = entries.needs_full_copy(after);
+    let complete = entries.log().needs_full_copy(after);
     let after = if complete { 0 } else { after };
     let packed = pack_contents_after(hub, &state, after)?;
     let weights = state.versions.ages(now);
@@ -185,7 +218,7 @@
     let confirmed = state.proof.newest();
     let head = Head {
         run: hub.incarnation,
-        change: entries.newest_change(),
+        change: entries.log().newest(),
         connected: state.is_connected_within(now, MAX_STORE_OUTAGE) && !hub.is_stopping(),
         complete,
         era: hub.store.era(),
@@ -195,8 +228,9 @@
         removed: if complete {
             Vec::new()
         } else {
-            entries.removed_after(after).collect()
+            entries.log().removed_after(after).collect()
         },
+        names: Some(entries.log().digest().into()),
         weights: if entries.weights_changed_after(after) {
             weights.collect()
         } else {
@@ -216,17 +250,17 @@
     let mut cached = hub.packed_copy.borrow_mut();
     if let Some((change, packed)) = cached.as_ref()
         && after == 0
-        && *change == entries.newest_change()
+        && *change == entries.log().newest()
     {
         return Ok(packed.clone());
     }
     let config = state.config_text.clone();
     let packed = Packed::new(&Contents {
         config: config.filter(|_| entries.config_changed_after(after)),
-        servers: entries.servers_after(after).collect(),
+        servers: entries.log().written_after(after).collect(),
     })?;
     if after == 0 {
-        *cached = Some((entries.newest_change(), packed.clone()));
+        *cached = Some((entries.log().newest(), packed.clone()));
     }
     Ok(packed)
 }
@@ -246,6 +280,7 @@
     let mut source = hub.source.subscribe();
     // The host that answered last, the connection to it and the next query, which holds its last change.
     let mut followed: Option<(IpAddr, Connection, Query)> = None;
+    let mut divergence = Divergence::default();
     loop {
         let current = *source.borrow_and_update();
         let Source::Host(host) = current else {
@@ -260,11 +295,13 @@
             .filter(|(address, connection, _)| *address == host && connection.is_ready());
         let (connection, query) = match former {
             Some((_, connection, query)) => (Some(connection), query),
-            None => (None, Query::default()),
-        };
-        let query = Query {
-            wait: true,
-            ..query
+            None => (
+                None,
+                Query {
+                    wait: true,
+                    ..Query::default()
+                },
+            ),
         };
         // Confirmation times are counted from before the query is sent: the answer may be delayed, and this host may
         // be suspended meanwhile.
@@ -273,10 +310,11 @@
             Ok((connection, head, contents)) if head.connected && !is_behind(&hub, &head) => {
                 apply_copy(&hub, &head, &contents, asked_at, "relay");
                 record_relay_contact(&hub, &head);
+                let diverged = is_full_copy_due(&hub, &mut divergence, host, &head);
                 let next = Query {
                     run: head.run,
-                    after: head.change,
-                    ..query
+                    after: if diverged { 0 } else { head.change },
+                    wait: !diverged,
                 };
                 followed = Some((host, connection, next));
             }
@@ -295,6 +333,22 @@
     }
 }
 
+/// Returns whether to ask for a complete copy, because the servers of this host differ from those of the followed one.
+fn is_full_copy_due(hub: &Hub, divergence: &mut Divergence, host: IpAddr, head: &Head) -> bool {
+    let Some(followed) = head.names.map(Digest::from) else {
+        return false;
+    };
+    let state = hub.state.borrow();
+    let own = state.entries.digest_without(state.directory.missing());
+    let due = divergence.is_copy_due(hub.now(), followed, own);
+    if due {
+        hub.metrics.diverged_copies.inc();
+        log::warn!(peer:% = host, change = head.change, names = followed.names, own_names = own.names;
+            "the servers of this host differ from those of the followed one; asking for a complete copy");
+    }
+    due
+}
+
 /// Returns whether a copy lacks changes of servers that this host knows.
 fn is_behind(hub: &Hub, head: &Head) -> bool {
     let known = hub.state.borrow().servers_feed.changed;
@@ -396,14 +450,29 @@
         let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
         hub.record_named_weights(&weights.model, weights.version, Some(age), source);
     }
-    if head.complete {
-        hub.replace_servers(contents.servers.iter().map(|(name, text)| (name, &**text)));
-    } else {
-        for (name, text) in &contents.servers {
-            hub.adopt_server(name, text);
-        }
-        for name in &head.removed {
-            hub.remove_server(name);
-        }
+    let mut servers = Servers(hub);
+    replica::apply(
+        &mut servers,
+        head.complete,
+        &head.removed,
+        &contents.servers,
+    );
+}
+
+/// The servers that this host knows.
+struct Servers<'a>(&'a Hub);
+
+impl Replica<Rc<RawValue>> for Servers<'_> {
+    fn replace(&mut self, entries: &[(ServerName, Rc<RawValue>)]) {
+        self.0
+            .replace_servers(entries.iter().map(|(name, text)| (name, &**text)));
+    }
+
+    fn remove(&mut self, name: &ServerName) {
+        self.0.remove_server(name);
+    }
+
+    fn write(&mut self, name: &ServerName, entry: &Rc<RawValue>) {
+        self.0.adopt_server(name, entry);
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) suspected_requests: IntGauge,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
+    /// Complete copies that were asked for because the servers differed from those of the followed host.
+    pub(crate) diverged_copies: IntCounter,
     /// Panics of the process's tasks, which started again.
     pub(crate) panics: IntCounter,
     /// Era that the store names; 0 while it names none.
@@ -72,6 +74,11 @@
             "Log lines dropped to bound their number.",
         )?;
         registry.register(Box::new(dropped_lines.clone()))?;
+        let diverged_copies = IntCounter::new(
+            "jaystand_diverged_copies_total",
+            "Complete copies asked for because servers differed from those of the followed host.",
+        )?;
+        registry.register(Box::new(diverged_copies.clone()))?;
         let panics = IntCounter::new(
             "jaystand_panics_total",
             "Panics of parts of the process, which started again.",
@@ -134,6 +141,7 @@
             peers: gauge("jaystand_peers", "Hosts that report.")?,
             latency,
             dropped_lines,
+            diverged_copies,
             panics,
             registry,
         })
