Know the age of weights only from hosts that saw them named

Cause: a process presumes an age of the version that it finds at its start. Its second list, 1.2 s later, named the same version, which then counted as named now: a known age of 0 replaced the presumed one, here and on other hosts, and engines with older weights were allowed for another required_after.

Change: hosts record how they learned of a version. A list proves nothing about a version that is known. A version that is new in a list was named since this host last knew all versions: up to 2 s that is its age, and after longer gaps the age is presumed, at most as at a start.

--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -1,4 +1,11 @@
 //! Weights versions: which servers may begin a request, and which ones are updated next.
+//!
+//! What each source proves of the time at which a version was named:
+//! - a watch that follows the last answer at once: it was named when the watch reported it;
+//! - a list or a later watch, of a version that was not known: it was named since this host last knew all versions;
+//! - the first list of a process: nothing, so an age is presumed by which the version is required soon;
+//! - a list, of a version that is known: nothing more than is known;
+//! - another host: what that host knows. Presumed ages stay presumed, however many hosts pass them on.
 
 use std::time::Duration;
 
@@ -19,6 +26,10 @@
 /// deployment from new requests for ten seconds after each new version. Runs that go on lose the credit for the tokens
 /// that they generate on the new weights, which costs less.
 pub const RUNS_DURING_UPDATE: Runs = Runs::Continue;
+/// A version that may have been named long before this host saw it is required this long after that at the earliest: a
+/// process counts as in touch only three seconds after its start, and a request may wait in its server meanwhile. A host
+/// that was out of touch for less than this knows the age of a version well enough.
+const UNSEEN_VERSION_GRACE: Duration = Duration::from_secs(2);
 /// Maximum number of versions in memory for a model. Older ones no longer matter.
 const MAX_VERSIONS: usize = 16;
 
@@ -49,13 +60,26 @@
 }
 
 jaystand_types::common! { value
-    /// How long ago a version was named.
+    /// How long ago a version was named, at most.
     pub enum Age {
-        /// This host or another one was running when the version was named.
+        /// This host or another one has seen the version named.
         Known(Duration),
-        /// The process found the version when it started. It assumes this age until another host states a known one.
+        /// The host found the version when it started, or was in touch with the store again. It assumes this age until
+        /// another host states a known one.
         Presumed(Duration),
     }
+
+    /// How a host learned of a named version, which decides what it knows of the version's age.
+    pub enum Sighting {
+        /// The store reported the change when it was made: the version was named now.
+        Change,
+        /// A list has the version. A version that is known already has no other age by that: it is still named. Another
+        /// one was named since this host last knew all named versions, the stated time ago; `None` at its start, which
+        /// proves nothing of the age.
+        Listed(Option<Duration>),
+        /// Another host states the age. A presumed age of another host proves no more than one of this host.
+        Stated(Age),
+    }
 }
 
 impl Age {
@@ -119,6 +143,33 @@
         }
     }
 
+    /// Records a version that this host learned of. Returns whether it is the newest one so far.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        model: &Model,
+        version: Version,
+        sighting: Sighting,
+    ) -> bool {
+        let age = match sighting {
+            Sighting::Change => Age::Known(Duration::ZERO),
+            Sighting::Listed(_) if self.is_known(model, version) => return false,
+            Sighting::Listed(Some(unseen)) if unseen < UNSEEN_VERSION_GRACE => Age::Known(unseen),
+            Sighting::Listed(unseen) => {
+                let longest = self.settings.required_after;
+                let longest = longest.saturating_sub(UNSEEN_VERSION_GRACE);
+                Age::Presumed(unseen.map_or(longest, |unseen| unseen.min(longest)))
+            }
+            Sighting::Stated(age) => age,
+        };
+        self.record_named(now, model, version, age)
+    }
+
+    fn is_known(&self, model: &str, version: Version) -> bool {
+        let named = self.named.get(model);
+        named.is_some_and(|named| named.iter().any(|known| known.version == version))
+    }
+
     /// Records that a version was named. Returns whether it is the newest one so far.
     pub fn record_named(&mut self, now: Moment, model: &Model, version: Version, age: Age) -> bool {
         let named = self.named.entry(model.clone()).or_default();
--- a/crates/dispatch/tests/weights.rs
+++ b/crates/dispatch/tests/weights.rs
@@ -6,7 +6,7 @@
 
 use jaystand_dispatch::{
     directory::Directory,
-    weights::{self, Age, Runs, Settings, Versions},
+    weights::{self, Age, Runs, Settings, Sighting, Versions},
 };
 use jaystand_types::Model;
 use support::{engine, ms};
@@ -73,6 +73,48 @@
     assert_eq!(versions.required(ms(4_499), "reef"), 0);
 }
 
+/// Guards against a host that takes the version which it found at its start as just named when it lists a second time
+/// (review/5: requests began on weights that were replaced 15.3 s before, 12 s allowed).
+#[test]
+fn a_second_list_does_not_make_a_version_younger() {
+    let mut versions = Versions::new(SETTINGS);
+    assert!(versions.record(ms(30), &model(), 2, Sighting::Listed(None)));
+    let second = Sighting::Listed(Some(ms(1_200)));
+    assert!(!versions.record(ms(1_230), &model(), 2, second));
+    assert_eq!(versions.required(ms(2_029), "reef"), 0);
+    assert_eq!(versions.required(ms(2_030), "reef"), 2);
+    let (_, _, age) = versions.ages(ms(2_030)).next().expect("a version");
+    assert!(age.is_presumed(), "other hosts would rely on {age:?}");
+}
+
+/// Guards against a version that counts as just named when a host lists after it was out of touch.
+#[test]
+fn a_version_of_a_list_may_have_been_named_since_the_last_look() {
+    for (unseen, presumed, age) in [
+        (300, false, 300),
+        (2_500, true, 2_500),
+        (60_000, true, 2_800),
+    ] {
+        let mut versions = Versions::new(SETTINGS);
+        versions.record(ms(0), &model(), 2, Sighting::Change);
+        let sighting = Sighting::Listed(Some(ms(unseen)));
+        assert!(versions.record(ms(60_000), &model(), 3, sighting));
+        let (_, version, known) = versions.ages(ms(60_000)).last().expect("a version");
+        assert_eq!((version, known), (3, Age::new(ms(age), presumed)));
+    }
+}
+
+/// Guards against a presumed age of a host that has started anew which replaces the one that another host has seen.
+#[test]
+fn a_restarted_host_does_not_age_versions_of_others() {
+    let mut versions = Versions::new(SETTINGS);
+    versions.record(ms(0), &model(), 2, Sighting::Change);
+    let stated = Sighting::Stated(Age::Presumed(ms(2_800)));
+    versions.record(ms(100), &model(), 2, stated);
+    assert_eq!(versions.required(ms(4_799), "reef"), 0);
+    assert_eq!(versions.required(ms(4_800), "reef"), 2);
+}
+
 fn fleet(count: u16, version: u64) -> Directory {
     let mut directory = Directory::default();
     for number in 0..count {
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -16,7 +16,7 @@
     replica::{self, Digest, Divergence, Replica},
     revision::Revision,
     source::Source,
-    weights::Age,
+    weights::{Age, Sighting},
 };
 use jaystand_types::{Era, Model, Moment, ServerName, Version};
 use serde::{Deserialize, Serialize};
@@ -309,7 +309,7 @@
         match request_copy(&hub, host, connection, query).await {
             Ok((connection, head, contents)) if head.connected && !is_behind(&hub, &head) => {
                 apply_copy(&hub, &head, &contents, asked_at, "relay");
-                record_relay_contact(&hub, &head);
+                record_relay_contact(&hub, &head, asked_at);
                 let diverged = is_full_copy_due(&hub, &mut divergence, host, &head);
                 let next = Query {
                     run: head.run,
@@ -356,10 +356,13 @@
 }
 
 /// Records that this host is in touch with the store, since the followed host is.
-fn record_relay_contact(hub: &Hub, head: &Head) {
+fn record_relay_contact(hub: &Hub, head: &Head, asked_at: Moment) {
     for kind in [Kind::Config, Kind::Servers, Kind::Weights] {
         hub.record_store_answer(kind, true);
-        hub.state.borrow_mut().feed(kind).loaded = true;
+        let mut state = hub.state.borrow_mut();
+        let feed = state.feed(kind);
+        feed.loaded = true;
+        feed.record_seen(asked_at);
     }
     let mut state = hub.state.borrow_mut();
     state.servers_feed.advance(head.revision(), head.changed());
@@ -448,7 +451,12 @@
     }
     for weights in &head.weights {
         let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
-        hub.record_named_weights(&weights.model, weights.version, Some(age), source);
+        hub.record_named_weights(
+            &weights.model,
+            weights.version,
+            Sighting::Stated(age),
+            source,
+        );
     }
     let mut servers = Servers(hub);
     replica::apply(
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,7 +6,7 @@
     entry,
     store::{Change, Object, Page},
 };
-use jaystand_dispatch::{revision::Revision, source::Source};
+use jaystand_dispatch::{revision::Revision, source::Source, weights::Sighting};
 use jaystand_types::Moment;
 use rand::RngExt as _;
 use tokio::time::sleep;
@@ -23,6 +23,10 @@
 const MAX_BATCH_PAUSE: Duration = Duration::from_millis(1_500);
 /// The list after a failed watch is confirmed by a second list after this time.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(1_200);
+/// A broken watch had delivered all changes until this long before: the store acknowledges what it is sent within a second.
+const BROKEN_WATCH_DOUBT: Duration = Duration::from_secs(1);
+/// A watch that follows the last answer within this time reports changes when they are made.
+const MAX_WATCH_GAP: Duration = Duration::from_millis(200);
 const FIRST_BACKOFF: Duration = Duration::from_millis(60);
 /// A host of the fleet asks for the store's era this often, whichever hosts are awake: a watch may wait on for a revision
 /// that is given out again. A change of the configuration must be in force within two seconds.
@@ -152,6 +156,7 @@
 async fn watch(hub: &Rc<Hub>, kind: Kind, mut revision: Revision, first_wait: Duration) -> bool {
     let mut wait = first_wait;
     loop {
+        let called_at = clock::since_boot();
         let watch = hub
             .store
             .watch(&hub.metrics, kind.store_kind(), revision, wait);
@@ -169,11 +174,21 @@
                     let unreadable = changes.unreadable;
                     log::warn!(feed = kind.as_str(), unreadable; "changes that cannot be read are skipped");
                 }
+                let unseen = hub.state.borrow_mut().feed(kind).unseen_before(called_at);
+                let sighting = match unseen {
+                    Some(unseen) if unseen <= MAX_WATCH_GAP => Sighting::Change,
+                    unseen => Sighting::Listed(unseen),
+                };
                 for change in &changes.changes {
-                    adopt_change(hub, kind, change);
+                    adopt_change(hub, kind, change, sighting);
                 }
                 revision = changes.revision;
-                hub.state.borrow_mut().feed(kind).revision = revision;
+                {
+                    let mut state = hub.state.borrow_mut();
+                    let feed = state.feed(kind);
+                    feed.revision = revision;
+                    feed.record_seen(clock::since_boot());
+                }
                 if wait != WATCH_WAIT {
                     return false;
                 }
@@ -193,6 +208,10 @@
             Err(error) => {
                 hub.record_store_answer(kind, false);
                 log::debug!(feed = kind.as_str(); "watch failed: {error}");
+                let seen_until = clock::since_boot().saturating_sub(BROKEN_WATCH_DOUBT);
+                if seen_until > called_at {
+                    hub.state.borrow_mut().feed(kind).record_seen(seen_until);
+                }
                 let jitter = rand::rng().random_range(0.0..1.0);
                 sleep(FIRST_BACKOFF.mul_f64(jitter)).await;
                 return true;
@@ -232,8 +251,10 @@
         }
         Kind::Config => adopt_configs(hub, objects, asked_at),
         Kind::Weights => {
+            let now = clock::since_boot();
+            let unseen = hub.state.borrow().weights_feed.unseen_before(now);
             for object in objects {
-                adopt_object(hub, kind, object);
+                adopt_object(hub, kind, object, Sighting::Listed(unseen));
             }
         }
     }
@@ -241,6 +262,7 @@
     let feed = state.feed(kind);
     feed.revision = revision;
     feed.loaded = true;
+    feed.record_seen(asked_at);
 }
 
 /// Applies a list of configurations. It confirms that no newer configuration was in force at the time of the call.
@@ -290,9 +312,9 @@
     }
 }
 
-fn adopt_change(hub: &Hub, kind: Kind, change: &Change) {
+fn adopt_change(hub: &Hub, kind: Kind, change: &Change, sighting: Sighting) {
     match (kind, change) {
-        (_, Change::Written(object)) => adopt_object(hub, kind, object),
+        (_, Change::Written(object)) => adopt_object(hub, kind, object, sighting),
         (Kind::Servers, Change::Removed(name)) => hub.remove_server(name),
         (Kind::Config | Kind::Weights, Change::Removed(name)) => {
             log::warn!(feed = kind.as_str(), name = name.as_str();
@@ -301,7 +323,8 @@
     }
 }
 
-fn adopt_object(hub: &Hub, kind: Kind, object: &Object) {
+/// Applies an object. The sighting tells how this host learned of it, which decides the age of named weights.
+fn adopt_object(hub: &Hub, kind: Kind, object: &Object, sighting: Sighting) {
     record_newest_change(hub, kind, object);
     match kind {
         Kind::Config if is_config(&object.name) => {
@@ -310,7 +333,7 @@
         Kind::Config => {}
         Kind::Servers => hub.adopt_server(&object.name, &object.value),
         Kind::Weights => match entry::weights(object.value.get().as_bytes()) {
-            Ok((model, version)) => hub.record_named_weights(&model, version, None, "store"),
+            Ok((model, version)) => hub.record_named_weights(&model, version, sighting, "store"),
             Err(error) => {
                 log::warn!(name = object.name.as_str(); "named weights cannot be read: {error}");
             }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -30,7 +30,7 @@
     revision::Revision,
     source::{self, Relays, Source},
     suspicion::Suspicions,
-    weights::{Age, Versions},
+    weights::{Sighting, Versions},
 };
 use jaystand_kernel::timer::Timer;
 use jaystand_types::{DataCentre, Era, Model, Moment, ServerName, Version};
@@ -49,9 +49,6 @@
     supervise,
 };
 
-/// A weights version that was named before this process started is required this long after the start. A process
-/// counts as in touch only three seconds after its start, and a request may wait in its server meanwhile.
-const STARTUP_VERSION_GRACE: Duration = Duration::from_secs(2);
 /// When this host compares its state with that of its peers, it ignores reports older than this.
 pub(crate) const MAX_PEER_REPORT_AGE: Duration = Duration::from_secs(1);
 
@@ -163,6 +160,9 @@
     pub(crate) lost_since: Option<Moment>,
     /// Whether a complete list, or an answer of the followed host, has been received.
     pub(crate) loaded: bool,
+    /// Until when all changes are known, by the clock that also runs while the host is suspended; `None` before the
+    /// first answer.
+    pub(crate) seen_until: Option<Moment>,
 }
 
 /// A shared prompt part that was recently sent to a server.
@@ -199,6 +199,17 @@
         }
     }
 
+    /// Records that all changes until a moment are known.
+    pub(crate) fn record_seen(&mut self, until: Moment) {
+        self.seen_until = self.seen_until.max(Some(until));
+    }
+
+    /// Returns for how long before a moment changes are unknown.
+    pub(crate) fn unseen_before(&self, moment: Moment) -> Option<Duration> {
+        let seen_until = self.seen_until?;
+        Some(moment.saturating_sub(seen_until))
+    }
+
     /// Returns whether the store answers.
     pub(crate) fn is_connected(&self) -> bool {
         self.loaded && self.lost_since.is_none()
@@ -373,25 +384,17 @@
         }
     }
 
-    /// Records that a weights version is named. Without an age, the version counts as named now if the list of weights
-    /// was received before, or else as named before this process started.
+    /// Records a named weights version that this host learned of.
     pub(crate) fn record_named_weights(
         &self,
         model: &Model,
         version: Version,
-        age: Option<Age>,
+        sighting: Sighting,
         source: &str,
     ) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let age = age.unwrap_or_else(|| {
-            if state.weights_feed.loaded {
-                return Age::Known(Duration::ZERO);
-            }
-            let required = self.settings.borrow().weights.required_after;
-            Age::Presumed(required.saturating_sub(STARTUP_VERSION_GRACE))
-        });
-        if state.versions.record_named(now, model, version, age) {
+        if state.versions.record(now, model, version, sighting) {
             log::info!(model = model.as_str(), version, source; "weights named");
             state.entries.record_weights_change();
             self.weights_changed.notify_one();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -17,7 +17,7 @@
     report::{self, Schedule},
     revision::Revision,
     source::Source,
-    weights::Age,
+    weights::{Age, Sighting},
 };
 use jaystand_types::{DataCentre, Model, Moment};
 use prost::Message;
@@ -563,7 +563,7 @@
     for weights in &report.weights {
         let model = Model::from(weights.model.as_str());
         let age = Age::new(Duration::from_millis(weights.age_ms), weights.presumed);
-        hub.record_named_weights(&model, weights.version, Some(age), "peer");
+        hub.record_named_weights(&model, weights.version, Sighting::Stated(age), "peer");
     }
     let now = hub.now();
     let mut learned = Vec::new();
