Send loads and parts in columns, and less old evidence

Change: loads and parts are columns of numbers (8 and 14 bytes an entry instead of 15 and 19), parts are reported for 250 ms instead of 450, news have only recent evidence, and whole reports draw at most eight older subjects. Hosts with the former format ignore the new fields until they are upgraded.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,6 +10,8 @@
 };
 
 use jaystand_dispatch::{
+    ServerKey,
+    directory::Server,
     lease::{Fence, Record},
     limit::{self, Fleet, Rate},
     load::Load,
@@ -26,14 +28,14 @@
 
 use crate::{
     clock, copy, feed,
-    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, log_limit_change, whole_ms},
+    hub::{Host, Hub, MAX_PEER_REPORT_AGE, RecentPart, State, host_id, log_limit_change, whole_ms},
     suspect::{SuspicionEntry, apply_suspicions, compose_suspicions, count_suspected},
 };
 
 /// Largest number of hosts that get a whole report in one round.
 const MAX_WHOLE_RECEIVERS: usize = 8;
-/// Shared parts are reported for this long, since reports may be lost.
-const PARTS_REPORTED_FOR: Duration = Duration::from_millis(450);
+/// Shared parts are reported for this long: in one or two reports to each host. A lost one costs a prefill at most.
+const PARTS_REPORTED_FOR: Duration = Duration::from_millis(250);
 /// Largest number of parts that a report names.
 const MAX_PARTS: usize = 64;
 /// Largest number of other hosts that a report names. Each report names a new random choice, so that every host learns
@@ -61,8 +63,10 @@
 const MAX_LIMITS: usize = 64;
 /// Largest report that can be received.
 const MAX_REPORT_BYTES: usize = 8_192;
-/// Token counts are sent in units of this many tokens.
+/// Token counts are sent in units of this many tokens, so that most take one byte.
 const TOKEN_UNIT: u64 = 64;
+/// Prefill times are sent in units of this many microseconds.
+const PREFILL_UNIT_US: u64 = 1_024;
 
 /// A host's report to its peers.
 #[derive(Clone, PartialEq, Message)]
@@ -79,8 +83,8 @@
     stopping: bool,
     #[prost(message, repeated, tag = "6")]
     groups: Vec<Group>,
-    #[prost(message, repeated, tag = "7")]
-    loads: Vec<LoadEntry>,
+    #[prost(message, optional, tag = "26")]
+    loads: Option<Loads>,
     #[prost(message, repeated, tag = "8")]
     updates: Vec<UpdateEntry>,
     #[prost(message, repeated, tag = "9")]
@@ -91,8 +95,8 @@
     data_centre: String,
     #[prost(uint64, optional, tag = "12")]
     abandoned_fence: Option<u64>,
-    #[prost(message, repeated, tag = "13")]
-    parts: Vec<PartEntry>,
+    #[prost(message, optional, tag = "27")]
+    parts: Option<Parts>,
     #[prost(enumeration = "Scope", tag = "14")]
     scope: i32,
     #[prost(uint64, tag = "15")]
@@ -159,26 +163,93 @@
     era: u64,
 }
 
+/// Shared parts that the sender recently sent to servers. Columns of equal length take half the bytes of a list of
+/// messages: under a burst these and the loads filled the links of hosts with 10 Mbit/s.
 #[derive(Clone, PartialEq, Message)]
-struct PartEntry {
-    #[prost(fixed64, tag = "1")]
-    part: u64,
-    #[prost(uint64, tag = "2")]
-    server: u64,
-    #[prost(uint32, tag = "3")]
-    tokens: u32,
+struct Parts {
+    /// Cache keys of the parts.
+    #[prost(fixed64, repeated, tag = "1")]
+    keys: Vec<u64>,
+    /// Keys of servers, which have 32 bits.
+    #[prost(fixed32, repeated, tag = "2")]
+    servers: Vec<u32>,
+    /// Numbers of tokens, in units of `TOKEN_UNIT`, rounded down.
+    #[prost(uint32, repeated, tag = "3")]
+    tokens: Vec<u32>,
 }
 
+/// The load of the sender's requests on servers, in columns of equal length.
 #[derive(Clone, PartialEq, Message)]
-struct LoadEntry {
-    #[prost(uint64, tag = "1")]
-    server: u64,
-    #[prost(uint32, tag = "2")]
-    active: u32,
-    #[prost(uint64, tag = "3")]
-    prefill: u64,
-    #[prost(uint64, tag = "4")]
-    memory: u64,
+struct Loads {
+    /// Keys of servers, which have 32 bits.
+    #[prost(fixed32, repeated, tag = "1")]
+    servers: Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    active: Vec<u32>,
+    /// Prefill times, in units of `PREFILL_UNIT_US`, rounded up.
+    #[prost(uint32, repeated, tag = "3")]
+    prefill: Vec<u32>,
+    /// Tokens of memory, in units of `TOKEN_UNIT`, rounded up.
+    #[prost(uint32, repeated, tag = "4")]
+    memory: Vec<u32>,
+}
+
+impl Parts {
+    fn compose<'a>(parts: impl Iterator<Item = &'a RecentPart>) -> Option<Self> {
+        let mut columns = Self::default();
+        for part in parts {
+            columns.keys.push(part.part);
+            columns.servers.push(narrow(part.server));
+            columns
+                .tokens
+                .push(narrow(u64::from(part.tokens) / TOKEN_UNIT));
+        }
+        (!columns.keys.is_empty()).then_some(columns)
+    }
+
+    /// Returns each part with its server and its number of tokens.
+    fn iter(&self) -> impl Iterator<Item = (u64, ServerKey, u32)> {
+        let parts = self.keys.iter().zip(&self.servers).zip(&self.tokens);
+        let unit = narrow(TOKEN_UNIT);
+        parts.map(move |((key, server), tokens)| {
+            (*key, ServerKey::from(*server), tokens.saturating_mul(unit))
+        })
+    }
+}
+
+impl Loads {
+    fn compose<'a>(servers: impl Iterator<Item = &'a Server>) -> Option<Self> {
+        let mut columns = Self::default();
+        for server in servers {
+            let load = &server.load;
+            columns.servers.push(narrow(server.key));
+            columns.active.push(load.active);
+            columns
+                .prefill
+                .push(narrow(load.prefill_us.div_ceil(PREFILL_UNIT_US)));
+            columns
+                .memory
+                .push(narrow(load.memory_tokens.div_ceil(TOKEN_UNIT)));
+        }
+        (!columns.servers.is_empty()).then_some(columns)
+    }
+
+    /// Returns the load on each server.
+    fn iter(&self) -> impl Iterator<Item = (ServerKey, Load)> {
+        let counts = self.active.iter().zip(&self.prefill).zip(&self.memory);
+        let loads = counts.map(|((active, prefill), memory)| Load {
+            active: *active,
+            prefill_us: u64::from(*prefill) * PREFILL_UNIT_US,
+            memory_tokens: u64::from(*memory) * TOKEN_UNIT,
+        });
+        let servers = self.servers.iter().copied().map(ServerKey::from);
+        servers.zip(loads)
+    }
+}
+
+/// Converts a number to 32 bits; a larger one becomes the largest.
+fn narrow(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -278,10 +349,13 @@
 }
 
 impl Report {
+    fn recent_suspicions(&self) -> Vec<SuspicionEntry> {
+        let recent = self.suspicions.iter().filter(|entry| entry.is_recent());
+        recent.cloned().collect()
+    }
+
     /// Returns the brief form of a report.
     fn brief(&self) -> Self {
-        let suspicions = self.suspicions.iter().filter(|entry| entry.is_recent());
-        let recent_suspicions = suspicions.cloned().collect();
         Self {
             incarnation: self.incarnation,
             era: self.era,
@@ -292,7 +366,7 @@
             parts: self.parts.clone(),
             departures: self.departures.clone(),
             limits: self.limits.clone(),
-            suspicions: recent_suspicions,
+            suspicions: self.recent_suspicions(),
             scope: Scope::Brief.into(),
             data_centre: self.data_centre.clone(),
             link: self.link,
@@ -302,6 +376,7 @@
 
     /// Returns the part of a report that peers must learn at once.
     fn news(self, hub: &Hub, now: Moment) -> Self {
+        let suspicions = self.recent_suspicions();
         let state = hub.state.borrow();
         let recent = |entry: &UpdateEntry| {
             let update = state.updates.get(&entry.server);
@@ -316,7 +391,7 @@
             updates: self.updates.into_iter().filter(recent).collect(),
             departures: self.departures,
             limits: self.limits,
-            suspicions: self.suspicions,
+            suspicions,
             scope: Scope::News.into(),
             data_centre: self.data_centre,
             link: self.link,
@@ -427,26 +502,9 @@
         groups: group_by_data_centre(named),
         new: is_new(state, now),
         link: hub.settings.borrow().link_mbps,
-        loads: busy
-            .map(|server| LoadEntry {
-                server: server.key,
-                active: server.load.active,
-                prefill: server.load.prefill_us / TOKEN_UNIT,
-                memory: server.load.memory_tokens / TOKEN_UNIT,
-            })
-            .collect(),
+        loads: Loads::compose(busy),
         scope: Scope::Whole.into(),
-        parts: state
-            .recent_parts
-            .iter()
-            .rev()
-            .take(MAX_PARTS)
-            .map(|part| PartEntry {
-                part: part.part,
-                server: part.server,
-                tokens: part.tokens,
-            })
-            .collect(),
+        parts: Parts::compose(state.recent_parts.iter().rev().take(MAX_PARTS)),
         departures: state
             .departures
             .iter()
@@ -604,20 +662,11 @@
             let reported = (clock::since_boot(), revision, record);
             *hub.reported_lease.borrow_mut() = Some(reported);
         }
-        for entry in &report.parts {
-            state
-                .holdings
-                .record_sent(now, entry.part, entry.server, entry.tokens);
+        for (part, server, tokens) in report.parts.iter().flat_map(Parts::iter) {
+            state.holdings.record_sent(now, part, server, tokens);
         }
-        let loads = report.loads.iter().map(|entry| {
-            let load = Load {
-                active: entry.active,
-                prefill_us: entry.prefill * TOKEN_UNIT,
-                memory_tokens: entry.memory * TOKEN_UNIT,
-            };
-            (entry.server, load)
-        });
         if report.scope() != Scope::News {
+            let loads = report.loads.iter().flat_map(Loads::iter);
             state.peers.record_report(now, from, loads);
         }
         for server in &report.departures {
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -10,6 +10,7 @@
 };
 use jaystand_types::Moment;
 use prost::Message;
+use rand::seq::IndexedRandom as _;
 
 use crate::{
     call::Call,
@@ -18,6 +19,9 @@
 
 /// Largest number of subjects that may crash servers that a report names.
 const MAX_SUSPICIONS: usize = 32;
+/// Largest number of subjects without recent evidence that a whole report names, drawn at random: a host that has started
+/// hears 40 whole reports a second.
+const MAX_OLD_SUSPICIONS: usize = 8;
 /// Brief reports name evidence that is not older than this, so that three reports in a row have it: some are lost. Whole
 /// reports spread the rest. With 3 s, evidence was three quarters of all bytes between hosts while a third of the servers
 /// crashed, as each host repeated what it had learned from the others.
@@ -161,7 +165,9 @@
             request,
         }
     });
-    entries.collect()
+    let (mut recent, old): (Vec<_>, Vec<_>) = entries.partition(SuspicionEntry::is_recent);
+    recent.extend(old.sample(&mut rand::rng(), MAX_OLD_SUSPICIONS).cloned());
+    recent
 }
 
 /// Applies what another host knows of subjects that may crash servers.
