Stop by the grace period that is in force

Cause: the stop used the grace period that was read at the start, while requests were admitted by the one of the last reload. A reload was also lost if SIGTERM came right after SIGHUP, or while the process stopped.

Change: the stop goes by the settings in force, and reloads go on during it.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -138,8 +138,14 @@
             _ = hangup.recv() => reload(&hub, &path),
         }
     }
-    stop(&hub, settings.grace).await;
-    Ok(())
+    // The settings may change right before the stop, and while it lasts.
+    let mut stop = std::pin::pin!(stop(&hub));
+    loop {
+        tokio::select! {
+            () = stop.as_mut() => return Ok(()),
+            _ = hangup.recv() => reload(&hub, &path),
+        }
+    }
 }
 
 fn listen(address: SocketAddr, purpose: &str) -> miette::Result<Rc<TcpListener>> {
@@ -167,10 +173,12 @@
     }
 }
 
-/// Announces the stop, then waits until all requests have ended or the grace period is nearly over.
-async fn stop(hub: &Hub, grace: Duration) {
+/// Announces the stop, then waits until all requests have ended or the grace period is nearly over. The grace period is the
+/// one in force, by which requests are admitted as well.
+async fn stop(hub: &Hub) {
     let started = Instant::now();
-    log::info!(open = hub.open_requests.get(), grace_ms = whole_ms(grace); "asked to stop");
+    let grace = || hub.settings.borrow().grace;
+    log::info!(open = hub.open_requests.get(), grace_ms = whole_ms(grace()); "asked to stop");
     hub.stop_requested_at.set(Some(hub.now()));
     hub.stopping.send_replace(true);
     // Wakes the held queries of followers, so that they look for another host.
@@ -178,8 +186,7 @@
     hub.report_now.notify_one();
     // Until the platform notices the stop, it sends new connections, which are still served.
     let min_wait = front::CLOSE_IDLE_AFTER + STOP_PERIOD;
-    let max_wait = grace.saturating_sub(END_MARGIN);
-    while started.elapsed() < max_wait {
+    while started.elapsed() < grace().saturating_sub(END_MARGIN) {
         sleep(STOP_PERIOD).await;
         if started.elapsed() >= min_wait && hub.open_requests.get() == 0 {
             break;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -46,13 +46,21 @@
             "jaystand-gateway-{}-{number}.toml",
             std::process::id()
         ));
+        let fixture = Self { address, settings };
+        fixture.write_settings(bounds);
+        fixture
+    }
+
+    /// Replaces the lines in the section `[bounds]` of the settings file.
+    pub fn write_settings(&self, bounds: &str) {
+        let address = self.address;
+        let number = address.octets()[3];
         let text = format!(
             "host = \"host-{number}\"\ndata_centre = \"a\"\npeer_port = 8702\nseeds = []\n\
              [listen]\nfront = \"{address}:8700\"\nready = \"{address}:8701\"\n\
              [store]\naddress = \"{address}:9200\"\n[bounds]\n{bounds}\n"
         );
-        std::fs::write(&settings, text).expect("a settings file");
-        Self { address, settings }
+        std::fs::write(&self.settings, text).expect("a settings file");
     }
 
     /// Returns the address at which callers are served.
