Pass on no response that states more than its server does

A transfer coding other than chunked was dropped and the coded body passed on, in answers and in requests. A server's 408, 429 or 503 without X-Not-Executed was passed on, although callers take these statuses as the statement that the request has not run.

Callers get 502 for the three statuses unless the server says that it has not run the request; this holds for all kinds, since the statement does.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -289,10 +289,11 @@
             let idle = head.idle_timeout;
             tokio::task::spawn_local(async move { hub.return_connection(pooled, idle).await });
         }
+        let (status, headers, body) = self.without_false_statement(head.status, headers, body);
         if head.status.is_server_error() {
             self.record_outcome(server, Outcome::Error);
             if self.may_repeat() {
-                self.server_error = Some((head.status, headers, body));
+                self.server_error = Some((status, headers, body));
                 return None;
             }
         } else {
@@ -301,12 +302,27 @@
             self.record_complete();
         }
         self.record_first_byte();
-        self.log_end(head.status, "answered");
-        Some(build_response(
-            head.status,
-            headers,
-            Reply::Whole(Some(body)),
-        ))
+        self.log_end(status, "answered");
+        Some(build_response(status, headers, Reply::Whole(Some(body))))
+    }
+
+    /// Returns what the caller gets for an answer of a server that may have run the request. Callers take some statuses as
+    /// the statement that it has not run, which only a server that says so can make.
+    fn without_false_statement(
+        &self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> (StatusCode, HeaderMap, Bytes) {
+        if !response::states_not_run(status) {
+            return (status, headers, body);
+        }
+        log::warn!(request = self.id.as_str(), server = self.server_name.as_str(),
+            status = status.as_u16(); "the server does not say whether it has run the request");
+        let reason = Bytes::from_static(b"the server may have run the request");
+        let answer = response::local_reply(StatusCode::BAD_GATEWAY, Some(&self.id), None, reason);
+        let (parts, body) = answer.into_parts();
+        (parts.status, parts.headers, body)
     }
 
     /// Sends the request to one server after another until one gives an answer that can be used.
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -66,6 +66,12 @@
                 "the server refused the request");
             return Verdict::Drain;
         }
+        if head.transfer_coded {
+            self.record_failure(server, Outcome::Broken);
+            log::warn!(request = self.id.as_str(), server = self.server_name.as_str();
+                "the answer has an unknown transfer coding; connection closed");
+            return Verdict::Discard;
+        }
         let genuine = head.sealed && head.identity == Identity::Matching && !head.encoded;
         if head.status.is_success() && !genuine {
             self.record_failure(server, Outcome::Broken);
