dispatch: learn the capacity of each server

Cause: every host sent until servers refused.

Change: capacity::Bounds gives the load that a server takes by its configuration (slots and memory with a margin for its own queue, backlog of prompts), capacity::Limit adapts a factor on it by AIMD and pauses a server after a refusal. View::choose_with_room skips full servers and tells a full service from one without servers. Nothing calls it yet.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    ServerKey, ServiceName,
+    ServerKey, ServiceName, capacity,
     health::Health,
     limit::{Call, Fleet, Rate, Statement},
     load::Load,
@@ -68,6 +68,8 @@
     pub health: Health,
     /// Load of the requests that this host sent to it.
     pub load: Load,
+    /// The load that it takes, by the outcomes of this host's requests.
+    pub capacity: capacity::Limit,
     /// Share of recent time that it spent on the prefill of all hosts' prompts.
     pub pressure: Pressure,
     missing_since: Option<Moment>,
@@ -159,6 +161,7 @@
             entry,
             health: Health::default(),
             load: Load::default(),
+            capacity: capacity::Limit::default(),
             pressure: Pressure::default(),
             missing_since: None,
             updating_until: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod capacity;
 pub mod config;
 pub mod directory;
 pub mod health;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::{
     ServerKey, ServiceName,
     admission::Reason,
+    capacity::Bounds,
     config::Engine,
     directory::{Directory, Server},
     holdings::Holdings,
@@ -155,29 +156,100 @@
     }
 }
 
+jaystand_types::common! { value
+    /// Why a request has no server.
+    pub enum Unplaced {
+        /// All servers that may run it are full.
+        Full,
+        /// No server may run it.
+        NoServer,
+    }
+}
+
+/// Some of the known servers.
+type Servers<'a> = SmallVec<[&'a Server; 32]>;
+
 impl<P: std::hash::Hash + Eq + Clone> View<'_, P> {
-    /// Returns the best server for a request, or `None` if no server may run it.
+    /// Returns the best server for a request, or `None` if no server may run it. Capacity is not considered.
     ///
     /// Servers in backoff or in a data centre that is in doubt are used only if there are no others.
     #[must_use]
     pub fn choose(&self, now: Moment, query: &Query<'_>) -> Option<Choice> {
-        let allowed: SmallVec<[&Server; 32]> = self
+        self.choose_among(now, query, &self.usable(now, query))
+    }
+
+    /// Returns the best server with capacity for a request. A full server is skipped in favour of the next one in the
+    /// order.
+    ///
+    /// # Errors
+    /// Fails if all servers that may run the request are full, or if there are none.
+    pub fn choose_with_room(&self, now: Moment, query: &Query<'_>) -> Result<Choice, Unplaced> {
+        let usable = self.usable(now, query);
+        let mut open = usable.clone();
+        open.retain(|server| self.has_room(now, server, query.engine));
+        if let Some(choice) = self.choose_among(now, query, &open) {
+            return Ok(choice);
+        }
+        // Servers that are full may be the only ones whose weights are new enough.
+        if open.len() < usable.len() && self.choose_among(now, query, &usable).is_some() {
+            Err(Unplaced::Full)
+        } else {
+            Err(Unplaced::NoServer)
+        }
+    }
+
+    /// Returns whether a server of a service takes one more request.
+    #[must_use]
+    pub fn has_any_room(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        engine: Option<&Engine>,
+    ) -> bool {
+        let mut servers = self.directory.iter();
+        servers.any(|server| {
+            server.entry.service == *service
+                && server.takes_work()
+                && self.has_room(now, server, engine)
+        })
+    }
+
+    /// Returns the load on a server as a share of its configured bounds.
+    #[must_use]
+    pub fn fill(&self, now: Moment, server: &Server, engine: Option<&Engine>) -> f64 {
+        let Some(engine) = engine else {
+            return Bounds::plain(server.entry.slots).fill(&server.load, 1.0);
+        };
+        let mut load = server.load;
+        load.add(self.peers.total(server.key));
+        Bounds::engine(engine).fill(&load, server.health.slowdown(now))
+    }
+
+    /// Returns whether a server takes one more request.
+    fn has_room(&self, now: Moment, server: &Server, engine: Option<&Engine>) -> bool {
+        let fill = self.fill(now, server, engine);
+        server.capacity.has_room(now, fill)
+    }
+
+    /// Returns the servers that may run a request.
+    fn usable(&self, now: Moment, query: &Query<'_>) -> Servers<'_> {
+        let allowed: Servers<'_> = self
             .directory
             .iter()
             .filter(|server| Self::may_run(now, server, query))
             .collect();
-        let healthy: SmallVec<[&Server; 32]> = allowed
+        let healthy: Servers<'_> = allowed
             .iter()
             .copied()
             .filter(|server| {
                 !server.health.is_backing_off(now) && !self.may_be_cut_off(now, server)
             })
             .collect();
-        let usable = if healthy.is_empty() {
-            &allowed
-        } else {
-            &healthy
-        };
+        if healthy.is_empty() { allowed } else { healthy }
+    }
+
+    /// Returns the best of some servers for a request.
+    fn choose_among(&self, now: Moment, query: &Query<'_>, usable: &[&Server]) -> Option<Choice> {
         let affinity = query
             .prompt
             .map_or(query.call, |(prompt, salt)| prompt.affinity_key(salt));
@@ -499,6 +571,15 @@
     }
 }
 
+/// Returns the expected time of a request at an idle server.
+#[must_use]
+pub fn idle_time(prompt: Option<&Prompt>) -> Duration {
+    let ms = prompt.map_or(PLAIN_ANSWER_MS, |prompt| {
+        FIRST_TOKEN_MS + f64::from(prompt.input_tokens) / TOKENS_PER_MS
+    });
+    duration_from_ms(ms)
+}
+
 /// Returns how many times longer a server takes than expected, by the outcomes that this host has seen.
 fn slowdown_factor(now: Moment, server: &Server) -> f64 {
     server.health.slowdown(now) * (1.0 + ERROR_FACTOR * server.health.error_rate(now).powi(2))
