dispatch: queue requests while all servers are full

Cause: a request that finds all servers full was sent anyway, queued by a server and refused or late; urgent requests and quiet teams suffered like the others.

Change: queue::Queue orders waiting requests by rank, by the recent work of their teams and by deadline, keeps a minimum share for ranks and teams, refuses at once what would not be served in time at the recent rate, and spreads the times at which refused callers return. Requests of lower ranks leave a share of each server to urgent ones of other hosts, and requests leave the queue at a pace, since reports are old.

Result: cargo test -p jaystand-dispatch passes.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -36,6 +36,9 @@
         SuspectedPart(Duration),
         /// It is suspected to crash servers itself; the next trial is due after this time.
         SuspectedRequest(Duration),
+        /// All servers that may run it are full, and it would not be served in time; capacity is expected after this
+        /// time.
+        NoRoom(Duration),
         /// Every attempt was refused or did not reach its server.
         Attempts,
         /// Its body does not fit into the memory reserved for bodies.
@@ -62,6 +65,7 @@
             Self::Limited(_) => "servers_limit",
             Self::SuspectedPart(_) => "suspected_part",
             Self::SuspectedRequest(_) => "suspected_request",
+            Self::NoRoom(_) => "no_room",
             Self::Attempts => "attempts",
             Self::Memory => "memory",
             Self::Overload => "overload",
@@ -95,6 +99,7 @@
         Reason::Stopping => Duration::ZERO,
         Reason::Paused(wait)
         | Reason::Limited(wait)
+        | Reason::NoRoom(wait)
         | Reason::SuspectedPart(wait)
         | Reason::SuspectedRequest(wait) => wait,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE_AFTER) / 2,
@@ -106,5 +111,11 @@
         | Reason::Memory
         | Reason::Deadline => SERVERS_CHANGE_AFTER,
     };
-    wanted.max(MIN_RETRY_AFTER).min(left / RETRY_AFTER_DIVISOR)
+    wanted.max(MIN_RETRY_AFTER).min(longest_retry_after(left))
+}
+
+/// Returns the longest time after which callers retry as they are told, with `left` until their deadline.
+#[must_use]
+pub fn longest_retry_after(left: Duration) -> Duration {
+    left / RETRY_AFTER_DIVISOR
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pressure;
 pub mod prompt;
 pub mod proof;
+pub mod queue;
 pub mod reach;
 pub mod report;
 pub mod revision;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -178,15 +178,20 @@
         self.choose_among(now, query, &self.usable(now, query))
     }
 
-    /// Returns the best server with capacity for a request. A full server is skipped in favour of the next one in the
-    /// order.
+    /// Returns the best server with capacity for a request, of which it leaves a share, `reserve`, to others. A full server
+    /// is skipped in favour of the next one in the order.
     ///
     /// # Errors
     /// Fails if all servers that may run the request are full, or if there are none.
-    pub fn choose_with_room(&self, now: Moment, query: &Query<'_>) -> Result<Choice, Unplaced> {
+    pub fn choose_with_room(
+        &self,
+        now: Moment,
+        query: &Query<'_>,
+        reserve: f64,
+    ) -> Result<Choice, Unplaced> {
         let usable = self.usable(now, query);
         let mut open = usable.clone();
-        open.retain(|server| self.has_room(now, server, query.engine));
+        open.retain(|server| self.has_room(now, server, query.engine, reserve));
         if let Some(choice) = self.choose_among(now, query, &open) {
             return Ok(choice);
         }
@@ -210,7 +215,7 @@
         servers.any(|server| {
             server.entry.service == *service
                 && server.takes_work()
-                && self.has_room(now, server, engine)
+                && self.has_room(now, server, engine, 0.0)
         })
     }
 
@@ -226,9 +231,15 @@
     }
 
     /// Returns whether a server takes one more request.
-    fn has_room(&self, now: Moment, server: &Server, engine: Option<&Engine>) -> bool {
+    fn has_room(
+        &self,
+        now: Moment,
+        server: &Server,
+        engine: Option<&Engine>,
+        reserve: f64,
+    ) -> bool {
         let fill = self.fill(now, server, engine);
-        server.capacity.has_room(now, fill)
+        server.capacity.has_room(now, fill + reserve)
     }
 
     /// Returns the servers that may run a request.
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -216,7 +216,7 @@
             prompt: prompt.map(|prompt| (prompt, &salt)),
             avoid: &[],
         };
-        let checked = view.choose_with_room(now, &query);
+        let checked = view.choose_with_room(now, &query, 0.0);
         let unchecked = view.choose(now, &query);
         (
             checked.map(|choice| choice.server),
