gateway: let requests wait until a server has capacity

Cause: requests were sent to full servers, which queued or refused them.

Change: a request that finds all servers full waits at its host, by gateway::waiting over dispatch::queue. Refusals and times to first events adapt the limits. Metrics by service; log lines when a service runs short of capacity and when that ends.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -153,6 +153,22 @@
     latest_start: Moment,
 }
 
+impl Entry {
+    fn new(now: Moment, id: Id, request: Request) -> Self {
+        let left = request.deadline.saturating_sub(now);
+        let latest_start = request
+            .deadline
+            .saturating_sub(request.needs)
+            .min(now + left / WAIT_DIVISOR);
+        Self {
+            id,
+            request,
+            joined: now,
+            latest_start,
+        }
+    }
+}
+
 /// Position of a request in the order; lower ones come first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Position {
@@ -184,6 +200,8 @@
     last_return: Moment,
     /// Beginning of the shortage, and the last time at which a request waited.
     shortage: Option<(Moment, Moment)>,
+    /// Whether `update` has returned the beginning of the shortage.
+    announced: bool,
     waited: u64,
     refused: u64,
 }
@@ -206,6 +224,7 @@
             last_full: Moment::ZERO,
             last_return: Moment::ZERO,
             shortage: None,
+            announced: false,
             waited: 0,
             refused: 0,
         }
@@ -223,6 +242,12 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether a request waits.
+    #[must_use]
+    pub fn contains(&self, id: Id) -> bool {
+        self.entries.iter().any(|entry| entry.id == id)
+    }
+
     /// Records that a request for the service arrived.
     pub fn record_offered(&mut self, now: Moment, rank: u8, team: &TeamId) {
         for demand in self.demands(rank, team) {
@@ -241,22 +266,25 @@
         }
     }
 
+    /// Returns whether an arriving request may be sent without joining: it comes before all that wait.
+    #[must_use]
+    pub fn is_first(&self, now: Moment, request: &Request) -> bool {
+        if self.entries.is_empty() {
+            return true;
+        }
+        let position = self.position(now, &Entry::new(now, self.next_id, request.clone()));
+        let mut entries = self.entries.iter();
+        entries.all(|entry| position < self.position(now, entry))
+    }
+
     /// Adds a request. Also returns the request that must leave because the queue is full.
     ///
     /// # Errors
     /// Fails if the request would not be served in time.
     pub fn join(&mut self, now: Moment, request: Request) -> Result<(Id, Option<Id>), NoRoom> {
         let left = request.deadline.saturating_sub(now);
-        let latest_start = request
-            .deadline
-            .saturating_sub(request.needs)
-            .min(now + left / WAIT_DIVISOR);
-        let entry = Entry {
-            id: self.next_id,
-            request,
-            joined: now,
-            latest_start,
-        };
+        let entry = Entry::new(now, self.next_id, request);
+        let latest_start = entry.latest_start;
         let position = self.position(now, &entry);
         let ahead = self.entries.iter();
         let ahead = ahead
@@ -388,10 +416,14 @@
         self.teams
             .retain(|_, team| team.offered.get(now, SHARE_WINDOW) > FORGOTTEN);
         let (began, last) = self.shortage?;
+        if !std::mem::replace(&mut self.announced, true) {
+            return Some(Shortage::Began);
+        }
         if now.saturating_sub(last) < SHORTAGE_END || !self.entries.is_empty() {
             return None;
         }
         self.shortage = None;
+        self.announced = false;
         Some(Shortage::Ended {
             lasted: last.saturating_sub(began),
             waited: std::mem::take(&mut self.waited),
@@ -399,12 +431,6 @@
         })
     }
 
-    /// Returns whether capacity is short: a request waits or has waited recently.
-    #[must_use]
-    pub fn is_short(&self) -> bool {
-        self.shortage.is_some()
-    }
-
     /// Records that a request waits.
     fn observe_wait(&mut self, now: Moment) {
         let (_, last) = self.shortage.get_or_insert((now, now));
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -179,11 +179,12 @@
         let now = self.now;
         let host = &mut self.hosts[job.host];
         host.queue.record_offered(now, job.rank, &job.team);
-        if host.queue.is_empty() && self.send(&job) {
+        let wanted = request(job.rank, &job.team, now);
+        if host.queue.is_first(now, &wanted) && self.send(&job) {
             return;
         }
         let host = &mut self.hosts[job.host];
-        let joined = host.queue.join(now, request(job.rank, &job.team, now));
+        let joined = host.queue.join(now, wanted);
         match joined {
             Ok((id, last)) => {
                 self.outcome.waited += 1;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,7 +17,7 @@
     config::{Delivery, Route, Team},
     health::Outcome,
     limit,
-    placement::{Choice, Query, View, cache_keys},
+    placement::{Choice, Query, Unplaced, View, cache_keys},
     prompt::{self, PartId, Prompt, Salt},
 };
 use jaystand_types::Moment;
@@ -58,13 +58,13 @@
 pub(crate) struct Call {
     pub(crate) hub: Rc<Hub>,
     parts: Parts,
-    body: Bytes,
+    pub(crate) body: Bytes,
     pub(crate) id: CallId,
     pub(crate) route: Arc<Route>,
-    team: Option<Arc<Team>>,
+    pub(crate) team: Option<Arc<Team>>,
     pub(crate) service: ServiceName,
     salt: Salt,
-    prompt: Option<Prompt>,
+    pub(crate) prompt: Option<Prompt>,
     /// Ids of the shared parts of the prompt, which are hashed once.
     pub(crate) shared_parts: SmallVec<[PartId; 4]>,
     /// Hash of what a caller who repeats the request sends again.
@@ -131,9 +131,12 @@
 /// Why no server answered a request.
 #[derive(Debug)]
 pub(crate) struct Failure {
-    reason: Reason,
+    pub(crate) reason: Reason,
 }
 
+/// A placement with the address and name of its server.
+pub(crate) type Chosen = (Choice, std::net::SocketAddr, CompactString);
+
 /// Serves a request. Returns its final answer, or a response whose body is the stream.
 pub(crate) async fn serve(hub: Rc<Hub>, request: Request<Incoming>) -> Response<Reply> {
     let arrived = hub.now();
@@ -144,6 +147,7 @@
         Err(rejection) => return rejection.answer(&hub, id.as_deref()),
     };
     let mut call = Call::new(&hub, arrived, id.unwrap_or_default(), admitted, parts);
+    call.record_offered();
     match call.read_body(body).await {
         Ok(body) => call.set_body(body),
         Err(answer) => return *answer,
@@ -326,7 +330,7 @@
             if let Some(reason) = self.suspect_reason() {
                 return Err(Failure { reason });
             }
-            let (choice, address, name) = self.choose_server()?;
+            let (choice, address, name) = self.choose_with_room().await?;
             self.server_name = name;
             let ticket = Ticket::new(&self.hub, choice.server, choice.load);
             let time_left = self.time_left();
@@ -377,6 +381,7 @@
             .inc();
         self.hub.take_call(server, self.purpose());
         self.record_trial();
+        self.record_sent();
         self.sends += 1;
         let sent = self.hub.now();
         self.record_holdings(sent, &choice);
@@ -436,6 +441,7 @@
             check::Verdict::Forward => {}
             check::Verdict::Discard => return None,
             check::Verdict::Drain => {
+                self.record_refusal(server, head.status);
                 self.drain(pooled, &head, body);
                 return None;
             }
@@ -488,8 +494,9 @@
         }
     }
 
-    /// Chooses a server for the next attempt. Fails if none is available, or if the deadline would be missed.
-    fn choose_server(&mut self) -> Result<(Choice, std::net::SocketAddr, CompactString), Failure> {
+    /// Chooses a server for the next attempt. Fails if none is available, or if the deadline would be missed. With
+    /// `reserve` servers without capacity are excluded; fails with `NoRoom` if all are.
+    pub(crate) fn choose_server(&mut self, reserve: Option<f64>) -> Result<Chosen, Failure> {
         let now = self.hub.now();
         let state = self.hub.state.borrow();
         let config = state.config.as_ref();
@@ -516,7 +523,15 @@
                 .map(|prompt| (prompt, &self.salt)),
             avoid: &self.tried,
         };
-        let Some(choice) = view.choose(now, &query) else {
+        let choice = match reserve {
+            Some(reserve) => view.choose_with_room(now, &query, reserve),
+            None => view.choose(now, &query).ok_or(Unplaced::NoServer),
+        };
+        if choice == Err(Unplaced::Full) {
+            let reason = Reason::NoRoom(Duration::ZERO);
+            return Err(Failure { reason });
+        }
+        let Ok(choice) = choice else {
             let reason = view.closed_reason(now, &query);
             let reason = reason.unwrap_or(if self.tried.is_empty() {
                 Reason::NoServer
@@ -569,7 +584,7 @@
     }
 
     /// Returns the rank of the team, or else of the route.
-    fn rank(&self) -> u8 {
+    pub(crate) fn rank(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.rank);
         team.unwrap_or(self.route.rank)
     }
@@ -580,7 +595,7 @@
     }
 
     /// Returns the purpose of the next send.
-    fn purpose(&self) -> limit::Call {
+    pub(crate) fn purpose(&self) -> limit::Call {
         if self.sends == 0 {
             limit::Call::Request
         } else if self.chunks > 0 {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -47,6 +47,7 @@
     settings::Settings,
     store::Store,
     supervise,
+    waiting::Waiting,
 };
 
 /// A weights version that was named before this process started is required this long after the start. A process
@@ -65,6 +66,8 @@
     pub(crate) pool: Pool,
     pub(crate) store: Store,
     pub(crate) buffers: Buffers,
+    /// Requests that wait until a server has capacity.
+    pub(crate) waiting: Waiting,
     pub(crate) state: RefCell<State>,
     /// Wakes the task that gives weight orders.
     pub(crate) weights_changed: Notify,
@@ -247,6 +250,7 @@
         Self {
             store: Store::new(settings.store),
             buffers: Buffers::new(settings.buffer_bytes),
+            waiting: Waiting::new(settings.buffer_bytes),
             relays: RefCell::new(relays),
             packed_copy: RefCell::new(None),
             source: watch::Sender::new(Source::Unknown),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod supervise;
 mod suspect;
 mod ticket;
+mod waiting;
 
 pub use events::{Event, Splitter};
 pub use run::{run, run_until, start_logging};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,8 +6,11 @@
     TextEncoder,
 };
 
+use crate::waiting;
+
 /// Bounds of the latency buckets in seconds. They surround the objectives of the users' sheets.
-const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0, 10.0];
+pub(crate) const LATENCY_BUCKETS: [f64; 10] =
+    [0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0, 10.0];
 
 /// The metrics of the process.
 pub(crate) struct Metrics {
@@ -34,6 +37,8 @@
     pub(crate) suspected_parts: IntGauge,
     /// Requests that are suspected to crash servers.
     pub(crate) suspected_requests: IntGauge,
+    /// Waiting requests and the capacity of servers.
+    pub(crate) waiting: waiting::Metrics,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
     /// Panics of the process's tasks, which started again.
@@ -132,6 +137,7 @@
             config_version: gauge("jaystand_config_version", "Configuration in force.")?,
             servers: gauge("jaystand_servers", "Known backend servers.")?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
+            waiting: waiting::Metrics::new(&registry)?,
             latency,
             dropped_lines,
             panics,
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -43,6 +43,7 @@
 
     /// Records how long an answer, or its first event, took relative to what was expected of the server.
     pub(crate) fn record_slowdown(&self, server: ServerKey, took: Duration, expected: Duration) {
+        self.record_response(server, took, expected);
         let now = self.hub.now();
         let mut state = self.hub.state.borrow_mut();
         if let Some(server) = state.directory.get_mut(server) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,7 +20,7 @@
     metrics::Metrics,
     news, orders, peer,
     settings::Settings,
-    socket, stores, supervise,
+    socket, stores, supervise, waiting,
 };
 
 /// How often idle connections, missing servers and dropped log lines are checked.
@@ -124,6 +124,7 @@
             front::serve_metrics(hub, Rc::clone(&listener))
         });
     }
+    hub.spawn_supervised("waiting requests", waiting::run);
     hub.spawn_supervised("weight orders", orders::run);
     hub.spawn_supervised("news of engines", news::listen);
     hub.spawn_supervised("stores of kept parts", stores::watch);
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -47,9 +47,13 @@
             prefill_us: std::mem::take(&mut self.load.prefill_us),
             ..Load::default()
         };
+        if prefill.is_idle() {
+            return;
+        }
         if let Some(server) = self.hub.state.borrow_mut().directory.get_mut(self.server) {
             server.load.subtract(prefill);
         }
+        self.hub.waiting.wake();
     }
 }
 
@@ -58,5 +62,6 @@
         if let Some(server) = self.hub.state.borrow_mut().directory.get_mut(self.server) {
             server.load.subtract(self.load);
         }
+        self.hub.waiting.wake();
     }
 }
