--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod capacity;
 pub mod config;
 pub mod directory;
 pub mod health;
@@ -18,6 +19,7 @@
 pub mod pressure;
 pub mod prompt;
 pub mod proof;
+pub mod queue;
 pub mod reach;
 pub mod replica;
 pub mod report;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -47,6 +47,7 @@
     settings::Settings,
     store::Store,
     supervise,
+    waiting::Waiting,
 };
 
 /// When this host compares its state with that of its peers, it ignores reports older than this.
@@ -62,6 +63,8 @@
     pub(crate) pool: Pool,
     pub(crate) store: Store,
     pub(crate) buffers: Buffers,
+    /// Requests that wait until a server has capacity.
+    pub(crate) waiting: Waiting,
     pub(crate) state: RefCell<State>,
     /// Wakes the task that gives weight orders.
     pub(crate) weights_changed: Notify,
@@ -258,6 +261,7 @@
         Self {
             store: Store::new(settings.store),
             buffers: Buffers::new(settings.buffer_bytes),
+            waiting: Waiting::new(settings.buffer_bytes),
             relays: RefCell::new(relays),
             packed_copy: RefCell::new(None),
             source: watch::Sender::new(Source::Unknown),
