Decode rate limits of teams and keep them in fleet-wide accounts

A team's rate limit holds for all hosts together, but a request has no time to ask the other hosts, and the limit cannot be divided evenly: a request of up to 70,000 tokens is far more than an even share of a small limit.

`quota::Book` keeps one account per team: an estimate of the fleet's token bucket. It is charged with this host's admissions, with the charges that other hosts report, and between reports with a prediction from each host's recent rate. While the bucket is low, a host also admits only its share of the refill by the team's recent demand.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -36,6 +36,8 @@
         SuspectedPart(Duration),
         /// It is suspected to crash servers itself; the next trial is due after this time.
         SuspectedRequest(Duration),
+        /// Its team is over its rate limit; the limit's bucket is expected to be filled again after this time.
+        TeamLimit(Duration),
         /// Every attempt was refused or did not reach its server.
         Attempts,
         /// Its body does not fit into the memory reserved for bodies.
@@ -62,6 +64,7 @@
             Self::Limited(_) => "servers_limit",
             Self::SuspectedPart(_) => "suspected_part",
             Self::SuspectedRequest(_) => "suspected_request",
+            Self::TeamLimit(_) => "team_limit",
             Self::Attempts => "attempts",
             Self::Memory => "memory",
             Self::Overload => "overload",
@@ -96,7 +99,8 @@
         Reason::Paused(wait)
         | Reason::Limited(wait)
         | Reason::SuspectedPart(wait)
-        | Reason::SuspectedRequest(wait) => wait,
+        | Reason::SuspectedRequest(wait)
+        | Reason::TeamLimit(wait) => wait,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE_AFTER) / 2,
         // The retry may reach another host, which may have the proof.
         Reason::Attempts | Reason::Unproven => MIN_RETRY_AFTER,
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -6,7 +6,7 @@
 use hashbrown::HashMap;
 use jaystand_types::{KindName, Model, RepeatRule, TeamId, Version};
 
-use crate::ServiceName;
+use crate::{ServiceName, quota};
 
 jaystand_types::common! { value
     /// How an answer reaches the caller.
@@ -63,6 +63,8 @@
         pub rank: Option<u8>,
         /// Whether its cached prompts are not shared with other teams.
         pub isolated: bool,
+        /// Its rate limit; `None` if it has none.
+        pub limit: Option<quota::Limit>,
     }
 
     /// The engines behind a service.
@@ -218,6 +220,12 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// Returns the rate limits of the teams. A team may be named several times.
+    pub fn team_limits(&self) -> impl Iterator<Item = (TeamId, quota::Limit)> {
+        let teams = self.keys.iter().flat_map(HashMap::values);
+        teams.filter_map(|team| Some((team.name.clone(), team.limit?)))
+    }
+
     /// Returns a service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pressure;
 pub mod prompt;
 pub mod proof;
+pub mod quota;
 pub mod reach;
 pub mod report;
 pub mod revision;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -23,6 +23,8 @@
 /// receivers differ from period to period. Reports to all hosts grow with the square of the fleet: in the users' sweep
 /// to 300 hosts, a host used 11.5 % of its processor for them and sent 98 KB/s.
 pub const MAX_BRIEF_RECEIVERS: usize = 64;
+/// Maximum number of hosts that get a whole report in one period.
+pub const MAX_WHOLE_RECEIVERS: usize = 8;
 
 /// The schedule of news.
 #[derive(Clone, Debug, Default)]
@@ -59,3 +61,12 @@
     let rounds = expiry.as_secs_f64() / PERIOD.as_secs_f64();
     1.0 - (1.0 - receivers / hosts).powf(rounds)
 }
+
+/// Returns the expected interval between two periodic reports of one host to another, when a host reports to this number
+/// of others.
+#[must_use]
+pub fn expected_interval(others: usize) -> Duration {
+    let others = u32::try_from(others).unwrap_or(u32::MAX);
+    let receivers = u32::try_from(MAX_BRIEF_RECEIVERS + MAX_WHOLE_RECEIVERS).unwrap_or(u32::MAX);
+    PERIOD * others.max(receivers) / receivers
+}
--- a/crates/dispatch/tests/state.rs
+++ b/crates/dispatch/tests/state.rs
@@ -118,6 +118,7 @@
         name: "schools".into(),
         rank: None,
         isolated: true,
+        limit: None,
     };
     let (shared, own) = (Salt::default(), Salt::new(Some(&team)));
     let texts = [
