Refuse requests of teams over their rate limit, and report the charges

The gateway charges a request to its team before the body is read, answers 429 with a jittered Retry-After when the team is over its limit, and gives the charge back if the request ends without having run. Reports between hosts carry the charges in field 23, which is absent if no team has a limit; a charge of more than an eighth of the burst is sent as news.

Tests with real gateways over loopback (platform/tests/quota.rs): nothing of a team over its limit reaches a server, a request that the servers have refused is not charged, and what one host has charged counts at another one.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use http::{HeaderValue, Response, StatusCode, header, request::Parts};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts};
 use jaystand_adapter::{
     request::{self, Head},
     response,
@@ -11,10 +11,11 @@
     CallId, ServiceName,
     admission::{self, Reason},
     config::{Route, Team},
+    quota::Charge,
 };
 use jaystand_types::Moment;
 
-use crate::{hub::Hub, reply::Reply};
+use crate::{hub::Hub, quota, reply::Reply};
 
 /// Timeout of a request whose head and route state none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,6 +31,8 @@
     pub(crate) timeout: Duration,
     /// Id of the last event that the caller has already received, if it resumes a stream.
     pub(crate) last_event: Option<u64>,
+    /// What was charged to the team's rate limit.
+    pub(crate) charge: Option<Charge>,
 }
 
 /// The answer to a request that is not admitted.
@@ -38,6 +41,8 @@
     retry_after: Option<Duration>,
     reason: &'static str,
     closes_connection: bool,
+    /// Whether the rejection has no log line of its own.
+    is_tallied: bool,
 }
 
 impl Rejection {
@@ -47,6 +52,7 @@
             retry_after: None,
             reason,
             closes_connection: false,
+            is_tallied: false,
         }
     }
 
@@ -57,13 +63,24 @@
         }
     }
 
+    fn over_team_limit(wait: Duration, timeout: Duration) -> Self {
+        let reason = Reason::TeamLimit(wait);
+        Self {
+            retry_after: Some(admission::retry_after(reason, None, timeout)),
+            is_tallied: true,
+            ..Self::new(StatusCode::TOO_MANY_REQUESTS, reason.as_str())
+        }
+    }
+
     /// Logs and counts the rejection, and returns the answer to the caller.
     pub(crate) fn answer(&self, hub: &Hub, id: Option<&str>) -> Response<Reply> {
         let state = hub.state.borrow();
         let config = state.config.as_ref().map_or(0, |config| config.version());
         drop(state);
-        log::info!(request = id.unwrap_or_default(), status = self.status.as_u16(), config,
-            reason = self.reason; "request rejected");
+        if !self.is_tallied {
+            log::info!(request = id.unwrap_or_default(), status = self.status.as_u16(), config,
+                reason = self.reason; "request rejected");
+        }
         let labels = [UNKNOWN_KIND, self.status.as_str(), self.reason];
         hub.metrics.requests.with_label_values(&labels).inc();
         let mut answer = local_reply(self.status, id, self.retry_after, self.reason);
@@ -83,7 +100,7 @@
 ) -> (Option<CallId>, Result<Admitted, Rejection>) {
     match request::decode(parts) {
         Ok(head) => {
-            let admitted = admit_head(hub, arrived, &head);
+            let admitted = admit_head(hub, arrived, &head, &parts.headers);
             (Some(head.id), admitted)
         }
         Err(error) => {
@@ -94,7 +111,12 @@
     }
 }
 
-fn admit_head(hub: &Hub, arrived: Moment, head: &Head<'_>) -> Result<Admitted, Rejection> {
+fn admit_head(
+    hub: &Hub,
+    arrived: Moment,
+    head: &Head<'_>,
+    headers: &HeaderMap,
+) -> Result<Admitted, Rejection> {
     if head.ambiguous {
         // The bytes that follow on the connection may belong to this request.
         return Err(Rejection {
@@ -135,6 +157,8 @@
             return Err(unavailable(Reason::Stopping));
         }
     }
+    let charge = quota::admit(hub, team.map(Arc::as_ref), headers)
+        .map_err(|refusal| Rejection::over_team_limit(refusal.wait, timeout))?;
     hub.state
         .borrow_mut()
         .budget
@@ -145,6 +169,7 @@
         service: service.clone(),
         timeout,
         last_event: head.last_event,
+        charge,
     })
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,6 +19,7 @@
     limit,
     placement::{Choice, Query, View, cache_keys},
     prompt::{self, PartId, Prompt, Salt},
+    quota::Charge,
 };
 use jaystand_types::Moment;
 use smallvec::SmallVec;
@@ -31,7 +32,7 @@
     link,
     meter::MeteredBody,
     pool::Pooled,
-    relay,
+    quota, relay,
     reply::Reply,
     suspect::hash_name,
     ticket::{OpenRequest, Ticket},
@@ -94,6 +95,8 @@
     pub(crate) last_event: Option<u64>,
     /// A server's error answer, which is returned if no further attempt succeeds.
     server_error: Option<(StatusCode, HeaderMap, Bytes)>,
+    /// What was charged to the team's rate limit.
+    charge: Option<Charge>,
     /// Whether the end of the request has been logged.
     end_logged: Cell<bool>,
     _open: OpenRequest,
@@ -112,6 +115,9 @@
             };
             self.log_end(NO_ANSWER_STATUS, reason);
         }
+        if let Some(charge) = self.charge.take().filter(|_| self.possible_runs == 0) {
+            quota::give_back(&self.hub, self.team.as_deref(), charge);
+        }
     }
 }
 
@@ -167,6 +173,7 @@
             fingerprint: 0,
             deadline: clock::since_boot() + admitted.timeout,
             last_event: admitted.last_event,
+            charge: admitted.charge,
             service: admitted.service,
             team: admitted.team,
             route: admitted.route,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -44,6 +44,7 @@
     metrics::Metrics,
     pack::Packed,
     pool::{Pool, Pooled},
+    quota,
     settings::Settings,
     store::Store,
     supervise,
@@ -115,6 +116,8 @@
     pub(crate) versions: Versions,
     pub(crate) holdings: Holdings,
     pub(crate) budget: Budget,
+    /// The accounts of teams with a rate limit.
+    pub(crate) quotas: quota::Book,
     /// The other hosts that share the retry budget and the connections to servers.
     pub(crate) sharers: Sharers<IpAddr>,
     pub(crate) reach: Reach,
@@ -229,6 +232,7 @@
             versions: Versions::new(settings.weights),
             holdings: Holdings::default(),
             budget: Budget::new(settings.budget.clone(), slack_from),
+            quotas: quota::new_book(&settings),
             sharers: Sharers::default(),
             reach: Reach::default(),
             suspicions: Suspicions::default(),
@@ -310,6 +314,7 @@
         self.metrics
             .config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        quota::set_limits(self, &mut state.quotas, &config);
         state.config = Some(Arc::new(config));
         state.config_text = Some(Rc::from(text.to_owned()));
         state.entries.record_config_change();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod pack;
 mod peer;
 mod pool;
+mod quota;
 mod relay;
 mod reply;
 mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
     TextEncoder,
 };
 
+use crate::quota;
+
 /// Bounds of the latency buckets in seconds. They surround the objectives of the users' sheets.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0, 10.0];
 
@@ -28,6 +30,8 @@
     pub(crate) limited_calls: IntCounterVec,
     /// Retries that the retry budget allowed or refused, by service and result.
     pub(crate) retries: IntCounterVec,
+    /// Rate limits of teams.
+    pub(crate) quota: quota::Metrics,
     /// Hosts that share the slack of the retry budget, this one included.
     pub(crate) budget_hosts: IntGauge,
     /// Prompt parts that are suspected to crash servers.
@@ -113,6 +117,7 @@
                 "Retries that the retry budget allowed or refused.",
                 &["service", "result"],
             )?,
+            quota: quota::Metrics::register(&registry)?,
             budget_hosts: gauge(
                 "jaystand_retry_budget_hosts",
                 "Hosts that share the slack of the retry budget, this one included.",
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -27,11 +27,10 @@
 use crate::{
     clock, copy, feed,
     hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, log_limit_change, whole_ms},
+    quota::{self, QuotaReport},
     suspect::{SuspicionEntry, apply_suspicions, compose_suspicions, count_suspected},
 };
 
-/// Largest number of hosts that get a whole report in one round.
-const MAX_WHOLE_RECEIVERS: usize = 8;
 /// Shared parts are reported for this long, since reports may be lost.
 const PARTS_REPORTED_FOR: Duration = Duration::from_millis(450);
 /// Largest number of parts that a report names.
@@ -118,6 +117,9 @@
     /// The latest era of the store that the sender knows.
     #[prost(uint64, tag = "22")]
     era: u64,
+    /// Charges to the rate limits of teams; absent in deployments without such limits.
+    #[prost(message, optional, tag = "23")]
+    quota: Option<QuotaReport>,
 }
 
 /// Hosts of a data centre that have reported to the sender.
@@ -231,6 +233,7 @@
                 sleep(due.saturating_sub(hub.now())).await;
                 let now = hub.now();
                 let news = compose_report(&hub, now).news(&hub, now);
+                quota::record_sent(&hub, news.quota.as_ref());
                 send_report(&hub, &socket, &news, &live_hosts(&hub, now)).await;
                 continue;
             }
@@ -242,7 +245,7 @@
         hub.state.borrow_mut().suspicions.expire(now);
         count_suspected(&hub);
         others.shuffle(&mut rand::rng());
-        let mut brief_receivers = others.split_off(others.len().min(MAX_WHOLE_RECEIVERS));
+        let mut brief_receivers = others.split_off(others.len().min(report::MAX_WHOLE_RECEIVERS));
         brief_receivers.truncate(report::MAX_BRIEF_RECEIVERS);
         let mut whole_receivers = others;
         if whole_receivers.is_empty() || now.saturating_sub(seeds_tried) >= SEED_PERIOD {
@@ -255,6 +258,7 @@
             whole_receivers.extend(other_seeds.copied().collect::<Vec<_>>());
         }
         let whole = compose_report(&hub, now);
+        quota::record_sent(&hub, whole.quota.as_ref());
         send_report(&hub, &socket, &whole, &whole_receivers).await;
         send_report(&hub, &socket, &whole.brief(), &brief_receivers).await;
     }
@@ -293,6 +297,7 @@
             departures: self.departures.clone(),
             limits: self.limits.clone(),
             suspicions: recent_suspicions,
+            quota: self.quota.clone(),
             scope: Scope::Brief.into(),
             data_centre: self.data_centre.clone(),
             link: self.link,
@@ -317,6 +322,7 @@
             departures: self.departures,
             limits: self.limits,
             suspicions: self.suspicions,
+            quota: self.quota.and_then(|quota| quota.news(&state)),
             scope: Scope::News.into(),
             data_centre: self.data_centre,
             link: self.link,
@@ -395,6 +401,7 @@
         DEPARTURES_REPORTED_FOR,
         |entry| entry.0,
     );
+    let quota = quota::compose(&mut state.quotas);
     let state = &*state;
     let busy = state
         .directory
@@ -456,6 +463,7 @@
             .collect(),
         limits: compose_limits(state, now),
         suspicions: compose_suspicions(state, now),
+        quota,
         updates: state
             .updates
             .iter()
@@ -678,6 +686,14 @@
             }
         }
     }
+    let quota = report.quota.as_ref();
+    quota::record(
+        &mut state.quotas,
+        from,
+        report.incarnation,
+        report.stopping,
+        quota,
+    );
     if report.stopping {
         state
             .sharers
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,7 +18,7 @@
     hub::{Hub, Kind, whole_ms},
     logs,
     metrics::Metrics,
-    news, orders, peer,
+    news, orders, peer, quota,
     settings::Settings,
     socket, stores, supervise,
 };
@@ -261,6 +261,7 @@
             log::info!(server = name.as_str(); "the server's missing entry did not return; the server counts as gone");
         }
         probe_data_centres(&hub, now);
+        quota::observe(&hub);
         accepted_keys = log_key_acceptance(&hub, accepted_keys);
         let dropped = logs::take_dropped();
         if dropped > 0 {
