--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -39,6 +39,8 @@
         /// All servers that may run it are full, and it would not be served in time; capacity is expected after this
         /// time.
         NoRoom(Duration),
+        /// Its team is over its rate limit; the limit's bucket is expected to be filled again after this time.
+        TeamLimit(Duration),
         /// Every attempt was refused or did not reach its server.
         Attempts,
         /// Its body does not fit into the memory reserved for bodies.
@@ -66,6 +68,7 @@
             Self::SuspectedPart(_) => "suspected_part",
             Self::SuspectedRequest(_) => "suspected_request",
             Self::NoRoom(_) => "no_room",
+            Self::TeamLimit(_) => "team_limit",
             Self::Attempts => "attempts",
             Self::Memory => "memory",
             Self::Overload => "overload",
@@ -101,7 +104,8 @@
         | Reason::Limited(wait)
         | Reason::NoRoom(wait)
         | Reason::SuspectedPart(wait)
-        | Reason::SuspectedRequest(wait) => wait,
+        | Reason::SuspectedRequest(wait)
+        | Reason::TeamLimit(wait) => wait,
         Reason::Overload => expected.unwrap_or(SERVERS_CHANGE_AFTER) / 2,
         // The retry may reach another host, which may have the proof.
         Reason::Attempts | Reason::Unproven => MIN_RETRY_AFTER,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prompt;
 pub mod proof;
 pub mod queue;
+pub mod quota;
 pub mod reach;
 pub mod replica;
 pub mod report;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
     TextEncoder,
 };
 
+use crate::quota;
 use crate::waiting;
 
 /// Bounds of the latency buckets in seconds. They surround the objectives of the users' sheets.
@@ -31,6 +32,8 @@
     pub(crate) limited_calls: IntCounterVec,
     /// Retries that the retry budget allowed or refused, by service and result.
     pub(crate) retries: IntCounterVec,
+    /// Rate limits of teams.
+    pub(crate) quota: quota::Metrics,
     /// Hosts that share the slack of the retry budget, this one included.
     pub(crate) budget_hosts: IntGauge,
     /// Prompt parts that are suspected to crash servers.
@@ -125,6 +128,7 @@
                 "Retries that the retry budget allowed or refused.",
                 &["service", "result"],
             )?,
+            quota: quota::Metrics::register(&registry)?,
             budget_hosts: gauge(
                 "jaystand_retry_budget_hosts",
                 "Hosts that share the slack of the retry budget, this one included.",
