Suspect a request that ends servers after its first event

Cause: a server that ended after events of the answer left no evidence, since most of the streams that it cuts are innocent. A request that ended its server at that stage was sent to one server after another.

Change: such a cut counts against the request, not against its parts, and as two thirds of a crash if the server held other streams: three servers make a request suspected at whatever stage, or two that held nothing else. A cut does not count if a request with more crashes explains it, or if the server answers a later request. Hosts tell each other the cuts; a single one is told only by the host that saw it, since a server cuts many streams.

Measured in virtual time (12 hosts, 30 servers, 300 streams): the request reaches 3 servers and none of its neighbours is refused.

--- a/crates/dispatch/src/suspicion.rs
+++ b/crates/dispatch/src/suspicion.rs
@@ -7,6 +7,11 @@
 //! request count once against the parts of its prompt: it explains them better, unless other requests with a part crash
 //! servers, too. Hosts tell each other the crashes and the clearances, since each of them sees only a few.
 //!
+//! A server that ends later, while it sends the answers of many streams, speaks against one of them at most, and most
+//! are innocent. Such a cut counts against the request only, and less than a crash if the server held other streams: a
+//! request that ends three servers is suspected at whatever stage it does so, while one that was on two of them is resumed
+//! elsewhere. A cut by a server that a request with more crashes explains does not count.
+//!
 //! Requests with a suspected subject are refused, but for single trials at growing intervals: it may be innocent, or
 //! mended. Hosts take turns in an order of the subject, so that they do not all try at once.
 
@@ -29,6 +34,10 @@
 /// The same for subjects with which a request was answered before the crashes. The deadly part of the same requests is
 /// suspected first, and the others are answered without it.
 const SUSPECT_EVENTS_IF_ANSWERED: usize = 4;
+/// Weight of the end of a server in an event, in thirds.
+const FULL_WEIGHT: usize = 3;
+/// The same if it held other streams as well and had begun to answer: three of these events make two full ones.
+const SHARED_WEIGHT: usize = 2;
 /// Number of parts, and of requests, of which it is known that they were answered.
 const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(4_096).expect("not zero");
 /// Time from the second crash or a trial to the next trial. It doubles with each further crash.
@@ -75,6 +84,8 @@
         pub server: ServerKey,
         /// When it ended.
         pub at: Moment,
+        /// Whether it had begun to answer and held other streams as well, any of which may have ended it.
+        pub shared: bool,
     }
 }
 
@@ -85,6 +96,8 @@
         pub subject: Subject,
         /// Servers that ended under it, with the time since then.
         pub crashes: SmallVec<[(ServerKey, Duration); 4]>,
+        /// Those of the servers that held other streams as well.
+        pub shared: SmallVec<[ServerKey; 4]>,
         /// Time since a request with it was last answered.
         pub cleared: Option<Duration>,
         /// Time since the last trial.
@@ -112,14 +125,17 @@
     tried: Option<Moment>,
     /// Whether a request with the subject was answered before the crashes.
     was_answered: bool,
+    /// Whether this host has seen a crash under it.
+    seen_here: bool,
 }
 
 /// The evidence against all subjects.
 #[derive(Clone, Debug)]
 pub struct Suspicions {
     subjects: HashMap<Subject, Evidence>,
-    /// Servers that ended under a suspected request, with that request.
-    explained: HashMap<ServerKey, Fingerprint>,
+    /// Servers that ended under a suspected request, with that request and the number of its crashes. The request of the
+    /// most crashes explains the end of a server.
+    explained: HashMap<ServerKey, (Fingerprint, usize)>,
     /// Parts with which requests of this host were answered, and those requests.
     answered_parts: LruCache<Subject, ()>,
     answered_requests: LruCache<Subject, ()>,
@@ -163,21 +179,26 @@
         self.crashes.retain(|crash| crash.at > at);
     }
 
-    /// Returns whether there were enough crash events. Those under one of the requests that explain crashes count once.
-    fn is_suspected(&self, explained: &HashMap<ServerKey, Fingerprint>) -> bool {
-        let mut events = 0;
-        let mut event_start: Option<Moment> = None;
-        let mut counted: SmallVec<[Fingerprint; 4]> = SmallVec::new();
-        for crash in &self.crashes {
-            if let Some(request) = explained.get(&crash.server) {
-                if counted.contains(request) {
-                    continue;
+    /// Returns whether there were enough crash events. `is_counted` is asked for each crash, the oldest first.
+    fn is_suspected(&self, mut is_counted: impl FnMut(&Crash) -> bool) -> bool {
+        let mut weight = 0;
+        let mut event: Option<(Moment, usize)> = None;
+        for crash in self.crashes.iter().filter(|crash| is_counted(crash)) {
+            let own = if crash.shared {
+                SHARED_WEIGHT
+            } else {
+                FULL_WEIGHT
+            };
+            match &mut event {
+                // The weightiest crash of an event counts.
+                Some((start, counted)) if crash.at < *start + EVENT_TIME => {
+                    weight += own.saturating_sub(*counted);
+                    *counted = own.max(*counted);
+                }
+                _ => {
+                    weight += own;
+                    event = Some((crash.at, own));
                 }
-                counted.push(*request);
-            }
-            if event_start.is_none_or(|start| crash.at >= start + EVENT_TIME) {
-                events += 1;
-                event_start = Some(crash.at);
             }
         }
         let enough = if self.was_answered {
@@ -185,7 +206,7 @@
         } else {
             SUSPECT_EVENTS
         };
-        events >= enough
+        weight >= enough * FULL_WEIGHT
     }
 
     /// Returns when the next trial is due. From `late` crashes on the delay is long.
@@ -237,19 +258,58 @@
         server: ServerKey,
         subjects: impl Iterator<Item = Subject>,
     ) -> SmallVec<[Subject; 2]> {
-        let crash = Crash { server, at: now };
+        let crash = Crash {
+            server,
+            at: now,
+            shared: false,
+        };
         let mut unsuspected: SmallVec<[Subject; 4]> = SmallVec::new();
         for subject in subjects {
             if !self.is_suspected(subject) {
                 unsuspected.push(subject);
             }
             self.add(subject, crash);
+            self.mark_seen_here(subject);
         }
         self.explain();
         let suspected_now = |subject: &Subject| self.is_suspected(*subject);
         unsuspected.into_iter().filter(suspected_now).collect()
     }
 
+    /// Records that a server ended, or seems to have, after it had sent events of the answer to a request. `held` is the
+    /// number of streams that it held. Returns the request if it is suspected from now on.
+    pub fn record_cut(
+        &mut self,
+        now: Moment,
+        server: ServerKey,
+        request: Fingerprint,
+        held: u32,
+    ) -> Option<Subject> {
+        let subject = Subject::Request(request);
+        let was_suspected = self.is_suspected(subject);
+        // Streams that ended with the server a moment ago are not held any more.
+        let is_other_cut = |(other, evidence): (&Subject, &Evidence)| {
+            let mut crashes = evidence.crashes.iter();
+            matches!(other, Subject::Request(other) if *other != request)
+                && crashes.any(|crash| crash.server == server)
+        };
+        let crash = Crash {
+            server,
+            at: now,
+            shared: held > 1 || self.subjects.iter().any(is_other_cut),
+        };
+        self.add(subject, crash);
+        self.mark_seen_here(subject);
+        self.explain();
+        (!was_suspected && self.is_suspected(subject)).then_some(subject)
+    }
+
+    fn mark_seen_here(&mut self, subject: Subject) {
+        if let Some(evidence) = self.subjects.get_mut(&subject) {
+            evidence.seen_here = true;
+        }
+    }
+
     /// Records that a request with these subjects was answered to its end.
     pub fn record_answer(&mut self, now: Moment, subjects: impl Iterator<Item = Subject>) {
         let mut changed = false;
@@ -339,9 +399,12 @@
     /// Returns what this host knows, for other hosts: the subjects of most crashes first, and the newest among equal ones.
     #[must_use]
     pub fn statements(&self, now: Moment, most: usize) -> Vec<Statement> {
+        // The streams that one server held are many. Each host reports its own of them.
+        let is_alone =
+            |evidence: &Evidence| matches!(*evidence.crashes, [Crash { shared: true, .. }]);
         let is_news = |evidence: &Evidence| {
             let cleared = evidence.cleared;
-            !evidence.crashes.is_empty()
+            (!evidence.crashes.is_empty() && (evidence.seen_here || !is_alone(evidence)))
                 || cleared.is_some_and(|cleared| cleared + CLEARANCE_REPORTED_FOR > now)
         };
         let mut known: Vec<(&Subject, &Evidence)> =
@@ -360,6 +423,12 @@
                     .iter()
                     .map(|crash| (crash.server, age(crash.at)))
                     .collect(),
+                shared: evidence
+                    .crashes
+                    .iter()
+                    .filter(|crash| crash.shared)
+                    .map(|crash| crash.server)
+                    .collect(),
                 cleared: evidence.cleared.map(age),
                 tried: evidence.tried.map(age),
             })
@@ -382,6 +451,7 @@
             let crash = Crash {
                 server: *server,
                 at: at(*age),
+                shared: statement.shared.contains(server),
             };
             changed |= self.add(subject, crash);
         }
@@ -426,27 +496,50 @@
             return false;
         };
         match subject {
-            Subject::Part(_) => evidence.is_suspected(&self.explained),
-            Subject::Request(_) => evidence.is_suspected(&HashMap::new()),
+            // Crashes under one of the requests that explain crashes count once.
+            Subject::Part(_) => {
+                let mut counted: SmallVec<[Fingerprint; 4]> = SmallVec::new();
+                evidence.is_suspected(|crash| {
+                    let Some((request, _)) = self.explained.get(&crash.server) else {
+                        return true;
+                    };
+                    let is_new = !counted.contains(request);
+                    counted.push(*request);
+                    is_new
+                })
+            }
+            Subject::Request(request) => {
+                let crashes = evidence.crashes.len();
+                evidence.is_suspected(|crash| {
+                    let explained = self.explained.get(&crash.server);
+                    let by_other = explained.is_some_and(|(other, their_crashes)| {
+                        *other != request && *their_crashes > crashes
+                    });
+                    !(crash.shared && by_other)
+                })
+            }
         }
     }
 
     /// Records anew which crashes the suspected requests explain.
     fn explain(&mut self) {
-        let suspected = self.subjects.iter().filter_map(|(subject, evidence)| {
+        self.explained.clear();
+        for (subject, evidence) in &self.subjects {
             let Subject::Request(request) = subject else {
-                return None;
+                continue;
             };
-            evidence
-                .is_suspected(&HashMap::new())
-                .then_some((*request, evidence))
-        });
-        self.explained = suspected
-            .flat_map(|(request, evidence)| {
-                let servers = evidence.crashes.iter().map(|crash| crash.server);
-                servers.map(move |server| (server, request))
-            })
-            .collect();
+            if !evidence.is_suspected(|_| true) {
+                continue;
+            }
+            let crashes = evidence.crashes.len();
+            for crash in &evidence.crashes {
+                let explained = self.explained.entry(crash.server);
+                let (known, most) = explained.or_insert((*request, crashes));
+                if crashes > *most {
+                    (*known, *most) = (*request, crashes);
+                }
+            }
+        }
     }
 
     fn answered_of(&mut self, subject: Subject) -> &mut LruCache<Subject, ()> {
--- a/crates/dispatch/tests/suspicion.rs
+++ b/crates/dispatch/tests/suspicion.rs
@@ -331,3 +331,172 @@
     assert_eq!(suspicions.crashes(REQUEST), 2);
     assert!(suspicions.suspected().any(|subject| subject == REQUEST));
 }
+
+/// A stream that a server sends.
+struct Stream {
+    request: u64,
+    host: usize,
+    server: usize,
+    ends: u64,
+    attempts: u32,
+}
+
+/// What came of the requests of [`play_cuts`].
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Times at which the deadly request reached a server.
+    deadly: Vec<u64>,
+    /// Streams of other requests that were cut, and those of them that were not resumed because they were suspected.
+    cut: usize,
+    refused: usize,
+    /// Those that had been on fewer than three servers that ended.
+    refused_early: usize,
+}
+
+/// Plays 30 s of a fleet of 12 hosts and 30 servers with 10 streams each on average. The deadly request comes every 2.2 s if
+/// `deadly` is set, and ends its server after the first event; otherwise a server ends every 300 ms, a hundred in all.
+/// Streams that are cut are resumed at another server twice.
+fn play_cuts(deadly: bool) -> Outcome {
+    const HOSTS: usize = 12;
+    const SERVERS: usize = 30;
+    const STREAMS: usize = 300;
+    const DEADLY_REQUEST: u64 = 1_000_000;
+    const STREAM_MS: u64 = 6_000;
+    let mut random = Pcg64Mcg::seed_from_u64(4);
+    let mut fleet = vec![Suspicions::default(); HOSTS];
+    let mut incarnations: Vec<u64> = (0..30).collect();
+    let mut streams: Vec<Stream> = Vec::new();
+    let mut outcome = Outcome::default();
+    let (mut next_request, mut next_incarnation) = (0, 1_000);
+    for now in (0..30_000).step_by(50) {
+        if now % 200 == 0 {
+            let told: Vec<_> = fleet
+                .iter()
+                .flat_map(|host| host.statements(ms(now), REPORTED))
+                .collect();
+            for host in &mut fleet {
+                for statement in &told {
+                    host.learn(ms(now), statement);
+                }
+            }
+        }
+        streams.retain(|stream| {
+            if stream.ends <= now {
+                let answered = [Subject::Request(stream.request)];
+                fleet[stream.host].record_answer(ms(now), answered.into_iter());
+            }
+            stream.ends > now
+        });
+        while streams.len() < STREAMS {
+            next_request += 1;
+            streams.push(Stream {
+                request: next_request,
+                host: random.random_range(0..HOSTS),
+                server: random.random_range(0..SERVERS),
+                ends: now + random.random_range(500..STREAM_MS),
+                attempts: 1,
+            });
+        }
+        let crashed = if deadly && now % 2_200 == 1_000 {
+            let host = random.random_range(0..HOSTS);
+            let subject = Subject::Request(DEADLY_REQUEST);
+            let verdict = fleet[host].verdict(ms(now), [subject].into_iter(), |_| Moment::ZERO);
+            if matches!(verdict, Verdict::Suspected(..)) {
+                continue;
+            }
+            let server = random.random_range(0..SERVERS);
+            outcome.deadly.push(now);
+            fleet[host].record_cut(ms(now), incarnations[server], DEADLY_REQUEST, 11);
+            server
+        } else if !deadly && now % 300 == 0 {
+            random.random_range(0..SERVERS)
+        } else {
+            continue;
+        };
+        let held = streams
+            .iter()
+            .filter(|stream| stream.server == crashed)
+            .count();
+        let held = u32::try_from(held).expect("few");
+        streams.retain_mut(|stream| {
+            if stream.server != crashed {
+                return true;
+            }
+            outcome.cut += 1;
+            let host = &mut fleet[stream.host];
+            host.record_cut(ms(now), incarnations[crashed], stream.request, held);
+            let subject = [Subject::Request(stream.request)];
+            let verdict = host.verdict(ms(now), subject.into_iter(), |_| Moment::ZERO);
+            outcome.refused += usize::from(verdict != Verdict::Sound);
+            outcome.refused_early += usize::from(verdict != Verdict::Sound && stream.attempts < 3);
+            stream.attempts += 1;
+            stream.server = random.random_range(0..SERVERS);
+            stream.attempts <= 3 && verdict == Verdict::Sound
+        });
+        incarnations[crashed] = next_incarnation;
+        next_incarnation += 1;
+    }
+    outcome
+}
+
+/// Guards against a request that ends server after server once they have sent events of its answer (review/4: ten servers),
+/// and against its neighbours, which are refused with it.
+#[test]
+fn a_request_that_cuts_servers_stops_and_its_neighbours_are_resumed() {
+    let outcome = play_cuts(true);
+    assert_eq!(outcome.deadly.len(), 3, "{outcome:?}");
+    assert!(outcome.cut > 0, "{outcome:?}");
+    assert_eq!(outcome.refused, 0, "{outcome:?}");
+}
+
+/// Guards against streams that are not resumed because servers end for other reasons: only one that was on three servers
+/// that ended is refused. Here each server ends every 9 s, and 17 of 1,029 streams that are cut are refused.
+#[test]
+fn streams_of_servers_that_end_for_other_reasons_are_resumed() {
+    let outcome = play_cuts(false);
+    assert!(outcome.cut > 500, "{outcome:?}");
+    assert_eq!(outcome.refused_early, 0, "{outcome:?}");
+    assert!(outcome.refused * 50 <= outcome.cut, "{outcome:?}");
+}
+
+/// Guards against a stream that was alone at two servers and counts as little as one among many.
+#[test]
+fn a_cut_counts_fully_at_a_server_that_held_nothing_else() {
+    for (held, suspected) in [(1, true), (2, false)] {
+        let mut suspicions = Suspicions::default();
+        suspicions.record_cut(ms(1_000), 1, 7, held);
+        suspicions.record_cut(ms(2_000), 2, 7, held);
+        assert_eq!(suspicions.suspected().any(|s| s == REQUEST), suspected);
+        let mut other = Suspicions::default();
+        for statement in suspicions.statements(ms(2_000), REPORTED) {
+            other.learn(ms(2_000), &statement);
+        }
+        assert_eq!(other.suspected().any(|s| s == REQUEST), suspected);
+        // Three servers are enough at whatever stage.
+        suspicions.record_cut(ms(3_000), 3, 7, held);
+        assert!(suspicions.suspected().any(|s| s == REQUEST));
+    }
+}
+
+/// Guards against a neighbour that was on the servers of a request which explains their ends, and against cuts of live
+/// servers that count.
+#[test]
+fn cuts_that_something_else_explains_do_not_count() {
+    let neighbour = 8;
+    let mut suspicions = Suspicions::default();
+    for server in 0..4 {
+        let at = ms(1_000 + server * 1_000);
+        suspicions.record_cut(at, server, 7, 5);
+        if server > 0 {
+            suspicions.record_cut(at, server, neighbour, 5);
+        }
+    }
+    let suspected: Vec<_> = suspicions.suspected().collect();
+    assert_eq!(suspected, [REQUEST]);
+    let mut suspicions = Suspicions::default();
+    for server in 0..4 {
+        suspicions.record_cut(ms(1_000 + server * 1_000), server, 7, 5);
+        suspicions.record_alive(server, ms(1_100 + server * 1_000));
+    }
+    assert_eq!(suspicions.suspected().count(), 0);
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -41,6 +41,8 @@
     Complete,
     /// The connection broke, or the stream ended within an event.
     Broken,
+    /// The server sent an event without end.
+    Endless,
     /// The server made no progress for the silence timeout, and the stream may move to another server.
     Silent,
     /// The caller closed its connection.
@@ -158,10 +160,14 @@
                     Failover::Broken => return fail_stream(&call, &caller),
                 }
             }
-            End::Broken => {
+            End::Broken | End::Endless => {
                 log::info!(request = call.id.as_str(), server = call.server_name(),
-                    after = call.last_event.unwrap_or(0), pieces = call.chunks; "stream broke on the way");
+                    after = call.last_event.unwrap_or(0), pieces = call.chunks,
+                    fingerprint = hash_name(call.fingerprint); "stream broke on the way");
                 call.record_outcome(server, Outcome::Broken);
+                if matches!(end, End::Broken) {
+                    call.record_cut(server);
+                }
                 // The former connection is closed before another server resumes.
                 drop(answer);
                 let Some(next) = resume(&mut call, &caller).await else {
@@ -276,7 +282,7 @@
                 if self.splitter.pending() > MAX_EVENT_BYTES {
                     log::warn!(request = call.id.as_str(), server = call.server_name(),
                         bytes = self.splitter.pending(); "an event without end; connection closed");
-                    return End::Broken;
+                    return End::Endless;
                 }
             } else {
                 self.tail = match *bytes {
@@ -358,6 +364,9 @@
             () = caller.closed() => return Failover::CallerGone,
         }
     };
+    if !intact {
+        call.record_cut(answer.pooled.server);
+    }
     match found {
         Some((next, first)) => Failover::Resumed(Box::new(next), first),
         None if intact => {
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -42,6 +42,9 @@
     /// Whether the subject is a request.
     #[prost(bool, tag = "6")]
     request: bool,
+    /// Those of the servers that held other streams as well.
+    #[prost(uint64, repeated, tag = "7")]
+    shared: Vec<u64>,
 }
 
 impl SuspicionEntry {
@@ -130,6 +133,22 @@
         }
     }
 
+    /// Records that a server broke off after it had sent events of the answer.
+    pub(crate) fn record_cut(&self, server: ServerKey) {
+        let now = self.hub.now();
+        let mut state = self.hub.state.borrow_mut();
+        let own = state.directory.get(server);
+        let own = own.map_or(0, |server| server.load.active);
+        let held = own.saturating_add(state.peers.total(server).active);
+        let suspected = state
+            .suspicions
+            .record_cut(now, server, self.fingerprint, held);
+        if let Some(subject) = suspected {
+            log_suspected(&state.suspicions, subject, "own request");
+            self.hub.report_now.notify_one();
+        }
+    }
+
     /// Records that a server has answered the request to its end.
     pub(crate) fn record_complete(&self) {
         let now = self.hub.now();
@@ -157,6 +176,7 @@
             cleared_ms: statement.cleared.map(whole_ms),
             tried_ms: statement.tried.map(whole_ms),
             request,
+            shared: statement.shared.to_vec(),
         }
     });
     entries.collect()
@@ -173,6 +193,7 @@
                 Subject::Part(entry.part)
             },
             crashes: entry.servers.iter().copied().zip(ages).collect(),
+            shared: entry.shared.iter().copied().collect(),
             cleared: entry.cleared_ms.map(Duration::from_millis),
             tried: entry.tried_ms.map(Duration::from_millis),
         };
