--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -53,7 +53,13 @@
 /// Gives weight orders for as long as the process runs.
 pub(crate) async fn run(hub: Rc<Hub>) {
     let settings = hub.settings.borrow().clone();
-    let lease = Lease::new(settings.run_name(hub.incarnation), settings.lease);
+    // A run of this task that started again after a panic is another holder: orders of the former one may be under way.
+    let name = compact_str::format_compact!(
+        "{}-{:04x}",
+        settings.run_name(hub.incarnation),
+        rand::random::<u16>()
+    );
+    let lease = Lease::new(name, settings.lease);
     let lease = Rc::new(RefCell::new(lease));
     let running = Rc::new(RefCell::new(Vec::new()));
     let mut ticks = hub.timer.every(CHECK_PERIOD);
