dispatch: let the rate limit find the capacity when a burst begins

Cause: the limit began at the rate accepted before the burst. Callers whose requests all servers refused were told to retry after 50 ms.

Change: the limit grows by half a second until a request is refused again, does not fall below 0.7 of the accepted rate, and grows slower and falls faster then. While capacity is short, refused callers return at the pace of the others.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -53,9 +53,15 @@
 /// Requests that may leave at once.
 const PACE_BURST: f64 = 4.0;
 /// Factor on the rate of accepted requests at which a service that refuses gets requests.
-const LIMIT_DECREASE: f64 = 0.8;
-/// Increase of that limit per second, as a share of its value. A burst that ends leaves the limit within seconds.
-const LIMIT_GROWTH_PER_S: f64 = 0.08;
+const LIMIT_DECREASE: f64 = 0.7;
+/// The limit does not fall below the rate of accepted requests multiplied by this. Without it, the limits of all hosts
+/// fall below the capacity together when a burst begins.
+const LIMIT_FLOOR: f64 = 0.7;
+/// Increase of that limit per second, as a share of its value.
+const LIMIT_GROWTH_PER_S: f64 = 0.05;
+/// The same until a request is refused again. When a burst begins, the rate of accepted requests is that of the load
+/// before, not the capacity.
+const START_GROWTH_PER_S: f64 = 0.5;
 /// Lower bound on that limit per second, so that a host with few requests is hardly delayed.
 const MIN_LIMIT: f64 = 3.0;
 /// Requests that may be sent at once under the limit.
@@ -163,6 +169,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RateLimit {
     per_second: f64,
+    /// Whether a request was refused later than those that began the limit.
+    is_confirmed: bool,
     decreased: Moment,
     refused: Moment,
     permits: f64,
@@ -179,7 +187,12 @@
     fn renew(&mut self, now: Moment) {
         self.permits = self.permits(now);
         let elapsed = now.saturating_sub(self.renewed).as_secs_f64();
-        self.per_second *= 1.0 + elapsed * LIMIT_GROWTH_PER_S;
+        let growth = if self.is_confirmed {
+            LIMIT_GROWTH_PER_S
+        } else {
+            START_GROWTH_PER_S
+        };
+        self.per_second *= 1.0 + elapsed * growth;
         self.renewed = now;
     }
 }
@@ -323,12 +336,15 @@
                 limit.refused = now;
                 if now.saturating_sub(limit.decreased) >= LIMIT_REACTION {
                     limit.decreased = now;
-                    limit.per_second = (limit.per_second * LIMIT_DECREASE).max(MIN_LIMIT);
+                    limit.is_confirmed = true;
+                    let floor = (accepted * LIMIT_FLOOR).max(MIN_LIMIT);
+                    limit.per_second = (limit.per_second * LIMIT_DECREASE).max(floor);
                 }
             }
             None if is_full => {
                 self.limit = Some(RateLimit {
                     per_second: (accepted * LIMIT_DECREASE).max(MIN_LIMIT),
+                    is_confirmed: false,
                     decreased: now,
                     refused: now,
                     permits: LIMIT_BURST,
@@ -516,6 +532,12 @@
         })
     }
 
+    /// Returns whether requests wait, have waited recently, or are limited in their rate.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.shortage.is_some() || self.limit.is_some()
+    }
+
     /// Records that a request waits.
     fn observe_wait(&mut self, now: Moment) {
         let (_, last) = self.shortage.get_or_insert((now, now));
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -378,7 +378,7 @@
 /// here.
 #[test]
 fn hosts_share_a_plain_service_that_is_overloaded() {
-    for load in [1.1, 2.0] {
+    for load in [1.1, 2.0, 4.0] {
         let mut site = Site::new(PLAIN);
         site.run(ms(1_000), 0.35, 1.0);
         site.outcome = Outcome::default();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -83,7 +83,7 @@
     /// Attempts in which no server could be reached.
     unreachable: u32,
     /// Expected time to the answer, or to the first event of a stream, at the chosen server.
-    expected: Option<Duration>,
+    pub(crate) expected: Option<Duration>,
     /// Time from arrival to the answer, or to the first event of a stream.
     first_byte: Option<Duration>,
     /// Longest pause between two chunks of a stream.
@@ -677,7 +677,7 @@
             (true, Reason::Deadline) => (StatusCode::GATEWAY_TIMEOUT, None),
             (true, _) => (StatusCode::BAD_GATEWAY, None),
             (false, _) => {
-                let retry_after = admission::retry_after(reason, self.expected, self.time_left());
+                let retry_after = self.retry_after(reason);
                 (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after))
             }
         };
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -14,7 +14,7 @@
 use http::StatusCode;
 use jaystand_dispatch::{
     ServerKey, ServiceName,
-    admission::Reason,
+    admission::{self, Reason},
     capacity::Bounds,
     limit,
     placement::{View, idle_time},
@@ -366,6 +366,25 @@
         }
     }
 
+    /// Returns the time after which the caller of a request that has not run should retry. While capacity is short, the
+    /// callers whose requests servers have refused return at the pace of the others.
+    pub(crate) fn retry_after(&self, reason: Reason) -> Duration {
+        let left = self.time_left();
+        let usual = admission::retry_after(reason, self.expected, left);
+        if !matches!(reason, Reason::Attempts | Reason::Overload) {
+            return usual;
+        }
+        let now = self.hub.now();
+        self.hub.waiting.with(&self.service, |service| {
+            if service.queue.is_short() {
+                let NoRoom(wait) = service.queue.refuse(now, left);
+                wait.max(usual)
+            } else {
+                usual
+            }
+        })
+    }
+
     /// Joins the waiting requests.
     fn join_queue(&self) -> Result<Place, Failure> {
         let hub = &self.hub;
