dispatch: keep the order and the drawn candidates when servers are full

Cause: full servers were removed before the candidates were drawn, so that one full server among 49 changed the ranks of all others.

Change: candidates are chosen as without the check, and full ones are skipped; for each of the first two of the order the next one is compared. Only the candidates' capacity is looked at.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -175,7 +175,7 @@
     /// Servers in backoff or in a data centre that is in doubt are used only if there are no others.
     #[must_use]
     pub fn choose(&self, now: Moment, query: &Query<'_>) -> Option<Choice> {
-        self.choose_among(now, query, &self.usable(now, query))
+        self.choose_among(now, query, &self.usable(now, query), |_| true)
     }
 
     /// Returns the best server with capacity for a request, of which it leaves a share, `reserve`, to others. A full server
@@ -190,17 +190,13 @@
         reserve: f64,
     ) -> Result<Choice, Unplaced> {
         let usable = self.usable(now, query);
-        let mut open = usable.clone();
-        open.retain(|server| self.has_room(now, server, query.engine, reserve));
-        if let Some(choice) = self.choose_among(now, query, &open) {
+        let is_open = |server: &Server| self.has_room(now, server, query.engine, reserve);
+        if let Some(choice) = self.choose_among(now, query, &usable, is_open) {
             return Ok(choice);
         }
         // Servers that are full may be the only ones whose weights are new enough.
-        if open.len() < usable.len() && self.choose_among(now, query, &usable).is_some() {
-            Err(Unplaced::Full)
-        } else {
-            Err(Unplaced::NoServer)
-        }
+        let any = self.choose_among(now, query, &usable, |_| true);
+        Err(any.map_or(Unplaced::NoServer, |_| Unplaced::Full))
     }
 
     /// Returns whether a server of a service takes one more request. Servers in backoff or in a data centre that is in
@@ -267,8 +263,14 @@
         if healthy.is_empty() { allowed } else { healthy }
     }
 
-    /// Returns the best of some servers for a request.
-    fn choose_among(&self, now: Moment, query: &Query<'_>, usable: &[&Server]) -> Option<Choice> {
+    /// Returns the best of some servers for a request, of those that are open.
+    fn choose_among(
+        &self,
+        now: Moment,
+        query: &Query<'_>,
+        usable: &[&Server],
+        is_open: impl Fn(&Server) -> bool,
+    ) -> Option<Choice> {
         let affinity = query
             .prompt
             .map_or(query.call, |(prompt, salt)| prompt.affinity_key(salt));
@@ -284,8 +286,8 @@
         };
         let sample = Sample::new(query.call, order.len(), random_candidates);
         // If no server of the sample would begin the request on weights that are new enough, all are compared.
-        self.choose_from(now, query, &order, Some(&sample))
-            .or_else(|| self.choose_from(now, query, &order, None))
+        self.choose_from(now, query, &order, Some(&sample), &is_open)
+            .or_else(|| self.choose_from(now, query, &order, None, &is_open))
     }
 
     /// Returns why no server of the request's service accepts a request now, if pauses and limits are the reason, with
@@ -309,21 +311,29 @@
     }
 
     /// Returns the server with the lowest score among the sampled ones and those that have cached the whole shared
-    /// part. Without a sample all servers are compared.
+    /// part. Without a sample all servers are compared. Servers that are not open are skipped; for each of the first ones
+    /// of the order the next one is compared.
     fn choose_from(
         &self,
         now: Moment,
         query: &Query<'_>,
         order: &[(u64, &Server)],
         sample: Option<&Sample>,
+        is_open: &impl Fn(&Server) -> bool,
     ) -> Option<Choice> {
         let mut cache_keys = CacheKeys::default();
         let mut best: Option<(f64, Choice)> = None;
+        let mut first_candidates = FIRST_CANDIDATES;
         for (rank, (_, server)) in order.iter().enumerate() {
-            let is_sampled = sample.is_none_or(|sample| sample.contains(rank));
+            let is_first = rank < first_candidates;
+            let is_sampled = is_first || sample.is_none_or(|sample| sample.contains(rank));
             if !is_sampled && !self.has_cached_all(now, query, &mut cache_keys, server) {
                 continue;
             }
+            if !is_open(server) {
+                first_candidates += usize::from(is_first);
+                continue;
+            }
             let (score, choice) = match query.prompt {
                 Some((prompt, salt)) => {
                     let version = server.entry.version(&prompt.model);
@@ -604,8 +614,8 @@
     server.health.slowdown(now) * (1.0 + ERROR_FACTOR * server.health.error_rate(now).powi(2))
 }
 
-/// The servers that are compared for a request, by their rank in the order: the first ones, and some others that are
-/// drawn for each request.
+/// The servers that are compared for a request in addition to the first ones of the order: some that are drawn for each
+/// request, by their rank.
 ///
 /// Reported loads are some hundred milliseconds old. If every host compared all servers, all would choose the same idle
 /// one until the next report.
@@ -625,7 +635,7 @@
     }
 
     fn contains(&self, rank: usize) -> bool {
-        rank < FIRST_CANDIDATES || self.random.contains(&rank)
+        self.random.contains(&rank)
     }
 }
 
