--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -9,7 +9,7 @@
 //!
 //! All hosts get a random share of each team's requests, so that they need not exchange messages about shares.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use hashbrown::HashMap;
 use jaystand_types::{Moment, TeamId};
@@ -53,9 +53,15 @@
 /// Requests that may leave at once.
 const PACE_BURST: f64 = 4.0;
 /// Factor on the rate of accepted requests at which a service that refuses gets requests.
-const LIMIT_DECREASE: f64 = 0.8;
-/// Increase of that limit per second, as a share of its value. A burst that ends leaves the limit within seconds.
-const LIMIT_GROWTH_PER_S: f64 = 0.08;
+const LIMIT_DECREASE: f64 = 0.7;
+/// The limit does not fall below the rate of accepted requests multiplied by this. Without it, the limits of all hosts
+/// fall below the capacity together when a burst begins.
+const LIMIT_FLOOR: f64 = 0.7;
+/// Increase of that limit per second, as a share of its value.
+const LIMIT_GROWTH_PER_S: f64 = 0.05;
+/// The same until a request is refused again. When a burst begins, the rate of accepted requests is that of the load
+/// before, not the capacity.
+const START_GROWTH_PER_S: f64 = 0.5;
 /// Lower bound on that limit per second, so that a host with few requests is hardly delayed.
 const MIN_LIMIT: f64 = 3.0;
 /// Requests that may be sent at once under the limit.
@@ -163,6 +169,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RateLimit {
     per_second: f64,
+    /// Whether a request was refused later than those that began the limit.
+    is_confirmed: bool,
     decreased: Moment,
     refused: Moment,
     permits: f64,
@@ -179,7 +187,12 @@
     fn renew(&mut self, now: Moment) {
         self.permits = self.permits(now);
         let elapsed = now.saturating_sub(self.renewed).as_secs_f64();
-        self.per_second *= 1.0 + elapsed * LIMIT_GROWTH_PER_S;
+        let growth = if self.is_confirmed {
+            LIMIT_GROWTH_PER_S
+        } else {
+            START_GROWTH_PER_S
+        };
+        self.per_second *= 1.0 + elapsed * growth;
         self.renewed = now;
     }
 }
@@ -323,12 +336,15 @@
                 limit.refused = now;
                 if now.saturating_sub(limit.decreased) >= LIMIT_REACTION {
                     limit.decreased = now;
-                    limit.per_second = (limit.per_second * LIMIT_DECREASE).max(MIN_LIMIT);
+                    limit.is_confirmed = true;
+                    let floor = (accepted * LIMIT_FLOOR).max(MIN_LIMIT);
+                    limit.per_second = (limit.per_second * LIMIT_DECREASE).max(floor);
                 }
             }
             None if is_full => {
                 self.limit = Some(RateLimit {
                     per_second: (accepted * LIMIT_DECREASE).max(MIN_LIMIT),
+                    is_confirmed: false,
                     decreased: now,
                     refused: now,
                     permits: LIMIT_BURST,
@@ -408,6 +424,11 @@
         if self.permits < 1.0 || !self.is_permitted(now) {
             return SmallVec::new();
         }
+        if count == 1 {
+            // Finding the first one is cheaper than sorting.
+            let first = self.positions(now).min_by(compare);
+            return first.into_iter().map(|(_, id)| id).collect();
+        }
         let order = self.order(now);
         order.into_iter().take(count).map(|(_, id)| id).collect()
     }
@@ -516,6 +537,12 @@
         })
     }
 
+    /// Returns whether requests wait, have waited recently, or are limited in their rate.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.shortage.is_some() || self.limit.is_some()
+    }
+
     /// Records that a request waits.
     fn observe_wait(&mut self, now: Moment) {
         let (_, last) = self.shortage.get_or_insert((now, now));
@@ -567,17 +594,17 @@
 
     /// Returns the waiting requests in order.
     fn order(&self, now: Moment) -> Vec<(Position, Id)> {
-        let entries = self.entries.iter();
-        let mut order: Vec<(Position, Id)> = entries
-            .map(|entry| (self.position(now, entry), entry.id))
-            .collect();
-        order.sort_by(|(a, a_id), (b, b_id)| {
-            let positions = a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal);
-            positions.then(a_id.cmp(b_id))
-        });
+        let mut order: Vec<(Position, Id)> = self.positions(now).collect();
+        order.sort_by(compare);
         order
     }
 
+    /// Returns the waiting requests with their positions, in no order.
+    fn positions(&self, now: Moment) -> impl Iterator<Item = (Position, Id)> {
+        let entries = self.entries.iter();
+        entries.map(move |entry| (self.position(now, entry), entry.id))
+    }
+
     /// Returns the last request of the order.
     fn last(&self, now: Moment) -> Option<(Position, &Entry)> {
         let entries = self.entries.iter();
@@ -619,3 +646,9 @@
         [&mut self.all, self.ranks.entry(rank).or_default(), team]
     }
 }
+
+/// Compares two requests by their positions, and those of equal positions by the time at which they joined.
+fn compare((a, a_id): &(Position, Id), (b, b_id): &(Position, Id)) -> Ordering {
+    let positions = a.partial_cmp(b).unwrap_or(Ordering::Equal);
+    positions.then(a_id.cmp(b_id))
+}
