Keep rate limits of teams when the fleet is divided

When a team became ten times as hot in the moment in which the fleet was divided into three parts, each part spent the whole free burst and the whole refill until it counted the others as silent: 336,000 tokens too many in a window of 8 s, of 230,000 allowed (limit of 100,000 tokens/s).

If the reports of more than a third of the hosts are late by half a period, their part of the burst is now reserved and the refill is that of the others, until they report or count as silent. What a silent host has charged is not counted when it returns, since it had its own part of the limit.

--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -38,6 +38,13 @@
 /// A host counts as silent after this many expected intervals between its reports. A report is then lost by chance on a
 /// link that loses 30 % in 1 of 400 cases.
 const SILENT_AFTER_INTERVALS: u32 = 5;
+/// Reports of a host are late this long after their period, and after this many expected intervals more in large fleets,
+/// in which the intervals vary.
+const LATE_AFTER: Duration = Duration::from_millis(100);
+const LATE_AFTER_INTERVALS: f64 = 2.5;
+/// If the reports of more than this part of the hosts are late, the fleet may have been divided. Of a fleet whose
+/// links lose 30 % of the reports, about a fifth is late at any time.
+const MAX_LATE_PART: f64 = 1.0 / 3.0;
 /// A silent host that did not announce its stop keeps its part of the limit for this long: it may be cut off and
 /// running.
 const RETENTION: Duration = Duration::from_secs(15 * 60);
@@ -189,6 +196,8 @@
     known: f64,
     /// Hosts of them that were heard recently, this one included.
     live: f64,
+    /// Hosts of them whose reports are not late, this one included.
+    fresh: f64,
     /// Expected age of the oldest charges that are not yet reported.
     age: Duration,
     /// Whether this host has just started or was suspended.
@@ -236,8 +245,8 @@
     mark: f64,
     /// Predicted charges since the report that are charged already.
     assumed: f64,
-    /// Time before its last report in which the host was silent and kept its part of the limit.
-    silent_for: Duration,
+    /// Whether the host was silent since. What it has charged then belongs to its own part of the limit.
+    was_silent: bool,
 }
 
 /// Returns the identity of a team in reports.
@@ -312,7 +321,7 @@
         if self.starting {
             limit.per_second / self.known.max(f64::from(MIN_START_HOSTS))
         } else {
-            limit.per_second * self.part()
+            limit.per_second * self.part() * (1.0 - self.late_part())
         }
     }
 
@@ -320,6 +329,23 @@
         limit.burst * self.part()
     }
 
+    /// Returns the part of the burst that hosts whose reports are late may be spending, until they count as silent.
+    fn reserve(&self, limit: &Limit) -> f64 {
+        self.burst(limit) * self.late_part()
+    }
+
+    /// Returns the part of the live hosts whose reports are late, if the fleet may have been divided.
+    fn late_part(&self) -> f64 {
+        let late = 1.0 - self.fresh / self.live;
+        if late > MAX_LATE_PART { late } else { 0.0 }
+    }
+
+    /// Returns the time after which the report of a host is late.
+    fn late_after(&self) -> Duration {
+        let beyond = self.age.saturating_sub(report::PERIOD);
+        report::PERIOD + LATE_AFTER + beyond.mul_f64(LATE_AFTER_INTERVALS)
+    }
+
     /// Returns the time after which a host that was not heard counts as silent.
     fn silent_after(&self) -> Duration {
         self.age * SILENT_AFTER_INTERVALS
@@ -336,6 +362,7 @@
             fleet: Fleet {
                 known: 1.0,
                 live: 1.0,
+                fresh: 1.0,
                 age: report::PERIOD,
                 starting: true,
                 starts_until: now + START_TIME,
@@ -470,9 +497,7 @@
         let former = self.hosts.get(host).copied();
         let same_run = former.filter(|former| former.incarnation == sender.incarnation);
         let silent_after = self.fleet.silent_after();
-        let silent_for = same_run.map_or(Duration::ZERO, |same| {
-            now.saturating_sub(same.heard + silent_after)
-        });
+        let was_silent = same_run.is_some_and(|same| now > same.heard + silent_after);
         let recorded = Host {
             incarnation: sender.incarnation,
             since: same_run.map_or(now, |same| same.since),
@@ -491,10 +516,10 @@
                 account.forget(host);
             }
         }
-        if !silent_for.is_zero() {
+        if was_silent {
             for account in self.accounts.values_mut() {
                 if let Some(peer) = account.peers.get_mut(host) {
-                    peer.silent_for += silent_for;
+                    peer.was_silent = true;
                 }
             }
         }
@@ -528,7 +553,8 @@
 
     /// Counts the hosts anew, and ends predictions of hosts that have fallen silent.
     fn tick(&mut self, now: Moment) {
-        let resumed = now.saturating_sub(self.ticked) > MAX_GAP;
+        let gap = now.saturating_sub(self.ticked);
+        let resumed = gap > MAX_GAP;
         self.ticked = now;
         if resumed {
             self.fleet.starts_until = now + START_TIME;
@@ -549,6 +575,14 @@
         let silent_after = self.fleet.silent_after();
         let is_live = |host: &&Host| now.saturating_sub(host.heard) <= silent_after;
         let live = self.members().filter(is_live).count();
+        let late_after = self.fleet.late_after();
+        let is_fresh = |host: &&Host| now.saturating_sub(host.heard) <= late_after;
+        // If this host itself is late, it has not read the reports yet.
+        let fresh = if gap > report::PERIOD + LATE_AFTER {
+            live
+        } else {
+            self.members().filter(is_fresh).count()
+        };
         // A process that starts beside silent hosts learns from others that they may run.
         let told = self.members().filter(is_live).map(|host| host.hosts).max();
         let known = told.unwrap_or(0).max(self.host_count());
@@ -556,6 +590,7 @@
         let fleet = Fleet {
             known: f64::from(known),
             live: count(live) + 1.0,
+            fresh: count(fresh) + 1.0,
             age: report::expected_interval(live),
             starting: now < self.fleet.starts_until
                 || (alone && now.saturating_sub(self.started) < RETENTION),
@@ -614,7 +649,7 @@
             // Every host that starts would otherwise overdraw the bucket by one request.
             self.level >= units(cost)
         } else {
-            self.level > 0.0 && (!paced || self.pacer > 0.0)
+            self.level > fleet.reserve(limit) && (!paced || self.pacer > 0.0)
         };
         if !admitted {
             return Err(self.refuse(now, fleet, limit, cost));
@@ -760,7 +795,8 @@
         let demand = entry.demand.max(0.0);
         let former = self.peers.get(host).copied();
         let (spent, rate) = match former {
-            Some(peer) => self.spent_since(now, fleet, &limit, &peer, entry),
+            Some(peer) if peer.was_silent => (0.0, 0.0),
+            Some(peer) => self.spent_since(now, &peer, entry),
             // The first report only sets the count, unless the host left out the team because it was idle.
             None if was_known => {
                 let recent = demand * RATE_TIME.as_secs_f64();
@@ -781,7 +817,7 @@
             at: now,
             mark: self.predicted_time,
             assumed: 0.0,
-            silent_for: Duration::ZERO,
+            was_silent: false,
         };
         self.peer_demand += peer.demand - former.map_or(0.0, |former| former.demand);
         self.peer_rate += peer.rate - former.map_or(0.0, |former| former.rate);
@@ -795,21 +831,9 @@
     }
 
     /// Returns the units that a host has charged since its last report beyond what was predicted, and its new rate.
-    fn spent_since(
-        &self,
-        now: Moment,
-        fleet: &Fleet,
-        limit: &Limit,
-        peer: &Peer,
-        entry: &Entry,
-    ) -> (f64, f64) {
+    fn spent_since(&self, now: Moment, peer: &Peer, entry: &Entry) -> (f64, f64) {
         let charged = float(entry.charged.saturating_sub(peer.charged));
         let predicted = peer.assumed + peer.rate * (self.predicted_time - peer.mark);
-        let mut spent = charged - predicted;
-        if !peer.silent_for.is_zero() && spent > 0.0 {
-            let part = limit.refill(peer.silent_for) / fleet.known;
-            spent = (spent - part).clamp(0.0, limit.burst / fleet.known);
-        }
         let passed = now.saturating_sub(peer.at);
         let kept = decay(passed);
         let weight = if passed.is_zero() {
@@ -817,7 +841,8 @@
         } else {
             (1.0 - kept) / passed.as_secs_f64()
         };
-        (spent, (peer.rate * kept + charged * weight).max(0.0))
+        let rate = (peer.rate * kept + charged * weight).max(0.0);
+        (charged - predicted, rate)
     }
 
     /// Ends the predictions for hosts that have not reported the team for too long.
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -20,6 +20,8 @@
 const SLACK: f64 = 140_000.0;
 /// Usual demand of a team as a part of its limit.
 const USUAL: f64 = 1.0 / 1.8;
+/// Demand of a team that sends ten times of what it usually does.
+const HOT: f64 = USUAL * 10.0;
 /// Part of the limit that must be usable.
 const USABLE: f64 = 0.95;
 /// Time after the start until a fleet counts as settled.
@@ -108,6 +110,13 @@
         self.books[host].set_limits(self.now, [(TEAM.into(), self.limit)]);
     }
 
+    fn set_limit(&mut self, limit: Limit, is_told: impl Fn(usize) -> bool) {
+        self.limit = limit;
+        for host in (0..self.books.len()).filter(|host| is_told(*host)) {
+            self.books[host].set_limits(self.now, [(TEAM.into(), limit)]);
+        }
+    }
+
     /// Runs the fleet for a time while callers ask for `demand` tokens a second.
     fn run(&mut self, time: Duration, demand: f64, to: To) {
         let until = self.now + time;
@@ -242,6 +251,17 @@
         worst
     }
 
+    /// Asserts that the limit can be used while a team asks for much more.
+    fn assert_used(&mut self, what: &str) {
+        let rate = self.limit.per_second();
+        self.run(SETTLED, rate * HOT, To::All);
+        let from = self.now;
+        self.run(secs(20), rate * HOT, To::All);
+        let used = self.admitted(from, self.now) / rate / 20.0;
+        println!("{what}: used {used:.3} of the limit");
+        assert!(used > USABLE, "{what}: {used}");
+    }
+
     /// Asserts the rule for all windows that begin at a time or later.
     fn assert_rule(&self, what: &str, from: Moment, limit: Limit) {
         let excess = self.worst_excess(from, limit);
@@ -279,12 +299,7 @@
     let served = fleet.admitted(from, fleet.now) / (fleet.asked - asked);
     println!("{what}: usual demand served {served:.4}");
     assert!(served > 0.98, "{what}: {served}");
-    fleet.run(SETTLED, rate * USUAL * 10.0, To::All);
-    let from = fleet.now;
-    fleet.run(secs(10), rate * USUAL * 10.0, To::All);
-    let used = fleet.admitted(from, fleet.now) / rate / 10.0;
-    println!("{what}: used {used:.3} of the limit");
-    assert!(used > USABLE, "{what}: {used}");
+    fleet.assert_used(&what);
     fleet.assert_rule(&what, Moment::ZERO, limit);
 }
 
@@ -330,3 +345,153 @@
         fleet.assert_rule(&what, Moment::ZERO, limit);
     }
 }
+
+/// Returns a fleet of 74 hosts that has served a team at a demand, which is a part of its limit.
+fn settled_fleet(rate: f64, demand: f64, seed: u64) -> (Fleet, Limit) {
+    let limit = tokens(rate);
+    let mut fleet = Fleet::new(74, limit, seed);
+    fleet.run(SETTLED + SETTLED, rate * demand, To::All);
+    (fleet, limit)
+}
+
+/// Guards against each part of a divided fleet allowing the whole limit, during a hot team and one that becomes hot when
+/// the fleet is divided, and against a part of the limit being lost after the fleet is whole again.
+#[test]
+fn a_fleet_in_three_parts_keeps_the_limit() {
+    for rate in RATES {
+        for before in [USUAL, HOT] {
+            let what = format!("three parts, {rate} tokens/s, before {before:.2}");
+            let (mut fleet, limit) = settled_fleet(rate, before, 3);
+            for (host, side) in fleet.sides.iter_mut().enumerate() {
+                *side = host % 3;
+            }
+            let from = fleet.now;
+            fleet.run(secs(12), rate * HOT, To::All);
+            let used = fleet.admitted(from + secs(2), fleet.now) / rate / 10.0;
+            println!("{what}: used {used:.3} of the limit");
+            assert!(used > USABLE, "{what}: {used}");
+            fleet.sides.fill(0);
+            fleet.assert_used(&what);
+            fleet.assert_rule(&what, Moment::ZERO, limit);
+        }
+    }
+}
+
+/// Guards against a full bucket at each process when all hosts start again, and against a fleet that refuses a team for
+/// long after that.
+#[test]
+fn the_limit_holds_when_all_hosts_start_again() {
+    for rate in [RATES[0], RATES[2]] {
+        for before in [USUAL, HOT] {
+            let what = format!("all start, {rate} tokens/s, before {before:.2}");
+            let (mut fleet, limit) = settled_fleet(rate, before, 4);
+            for _ in 0..2 {
+                for host in 0..fleet.books.len() {
+                    fleet.start(host);
+                }
+                fleet.run(secs(5), rate * HOT, To::All);
+            }
+            fleet.assert_used(&what);
+            fleet.assert_rule(&what, Moment::ZERO, limit);
+        }
+    }
+}
+
+/// Guards against a host that refuses all requests of a hot team after it has started anew among others.
+#[test]
+fn a_host_that_starts_anew_gets_its_share_of_a_hot_team() {
+    let rate = RATES[2];
+    let (mut fleet, limit) = settled_fleet(rate, HOT, 5);
+    for host in 0..10 {
+        fleet.start(host);
+    }
+    fleet.run(secs(8), rate * HOT, To::All);
+    let started: f64 = (0..10).map(|host| level(&mut fleet, host)).sum();
+    let others: f64 = (10..20).map(|host| level(&mut fleet, host)).sum();
+    println!("levels: {started:.0} at started hosts, {others:.0} at others");
+    assert!(started > others / 2.0, "{started:.0}, {others:.0}");
+    fleet.assert_rule("some start", Moment::ZERO, limit);
+}
+
+fn level(fleet: &mut Fleet, host: usize) -> f64 {
+    let now = fleet.now;
+    let mut statuses = fleet.books[host].statuses(now);
+    statuses.next().map_or(f64::NAN, |status| status.level)
+}
+
+/// Guards against hosts that were suspended, and then read old reports, spending what the others have spent meanwhile.
+#[test]
+fn hosts_that_were_suspended_do_not_spend_twice() {
+    for rate in [RATES[0], RATES[2]] {
+        for before in [USUAL, HOT] {
+            let what = format!("suspended, {rate} tokens/s, before {before:.2}");
+            let (mut fleet, limit) = settled_fleet(rate, before, 6);
+            for suspended in fleet.suspended_until.iter_mut().take(40) {
+                *suspended = fleet.now + secs(5);
+            }
+            fleet.run(secs(5), rate * before, To::All);
+            fleet.run(secs(12), rate * HOT, To::All);
+            fleet.assert_used(&what);
+            fleet.assert_rule(&what, Moment::ZERO, limit);
+        }
+    }
+}
+
+/// Guards against a lower limit that the part of the fleet which learned of it late does not keep, or that blocks the
+/// team because the other part has spent more meanwhile.
+#[test]
+fn a_lower_limit_holds_one_window_after_all_hosts_know_it() {
+    for rate in [RATES[1], RATES[2]] {
+        let what = format!("lowered, {rate} tokens/s");
+        let (mut fleet, former) = settled_fleet(rate, HOT, 7);
+        for (host, side) in fleet.sides.iter_mut().enumerate() {
+            *side = host % 3;
+        }
+        fleet.run(secs(3), rate * HOT, To::All);
+        let limit = tokens(rate / 10.0);
+        fleet.set_limit(limit, |host| host % 3 == 0);
+        fleet.run(secs(10), rate * HOT, To::All);
+        fleet.set_limit(limit, |host| host % 3 != 0);
+        let known = fleet.now;
+        fleet.run(secs(6), rate * HOT, To::All);
+        fleet.sides.fill(0);
+        fleet.run(secs(4), rate * HOT, To::All);
+        fleet.assert_used(&what);
+        fleet.assert_rule(&what, Moment::ZERO, former);
+        fleet.assert_rule(&what, known + WINDOW, limit);
+    }
+}
+
+/// Guards against hosts that lose the limit, or a part of it, when many reports are lost.
+#[test]
+fn the_limit_holds_when_reports_are_lost() {
+    for rate in [RATES[0], RATES[2]] {
+        let what = format!("lossy, {rate} tokens/s");
+        let limit = tokens(rate);
+        let mut fleet = Fleet::new(74, limit, 8);
+        fleet.loss = 0.3;
+        fleet.run(SETTLED + SETTLED, rate * USUAL, To::All);
+        fleet.assert_used(&what);
+        fleet.assert_rule(&what, Moment::ZERO, limit);
+    }
+}
+
+/// Guards against a host that is cut off taking more than its part, and against the others losing theirs for long.
+#[test]
+fn a_host_that_is_cut_off_keeps_its_part_only() {
+    let rate = RATES[2];
+    let (mut fleet, limit) = settled_fleet(rate, USUAL, 9);
+    fleet.sides[5] = 1;
+    let from = fleet.now;
+    fleet.run(secs(20), rate * HOT, To::Only(5));
+    let used = fleet.admitted(from + secs(2), fleet.now) / rate / 18.0;
+    println!("used {used:.4} of the limit by one host of 74");
+    assert!(used < 2.0 / 74.0, "{used}");
+    fleet.sides[5] = 0;
+    fleet.run(SETTLED, rate * USUAL, To::All);
+    let (asked, from) = (fleet.asked, fleet.now);
+    fleet.run(secs(10), rate * USUAL, To::All);
+    let served = fleet.admitted(from, fleet.now) / (fleet.asked - asked);
+    assert!(served > 0.98, "{served}");
+    fleet.assert_rule("cut off", Moment::ZERO, limit);
+}
