--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -33,8 +33,8 @@
     suspect::{SuspicionEntry, apply_suspicions, compose_suspicions, count_suspected},
 };
 
-/// Shared parts are reported for this long: in one or two reports to each host. A lost one costs a prefill at most.
-const PARTS_REPORTED_FOR: Duration = Duration::from_millis(250);
+/// Shared parts are reported for this long, since reports may be lost.
+const PARTS_REPORTED_FOR: Duration = Duration::from_millis(450);
 /// Largest number of parts that a report names.
 const MAX_PARTS: usize = 64;
 /// Largest number of other hosts that a report names. Each report names a new random choice, so that every host learns
@@ -175,7 +175,7 @@
     /// Keys of servers, which have 32 bits.
     #[prost(fixed32, repeated, tag = "2")]
     servers: Vec<u32>,
-    /// Numbers of tokens, in units of `TOKEN_UNIT`, rounded down.
+    /// Numbers of tokens, in units of `TOKEN_UNIT`, rounded up: a part counts as cached only if all of its tokens are.
     #[prost(uint32, repeated, tag = "3")]
     tokens: Vec<u32>,
 }
@@ -204,7 +204,7 @@
             columns.servers.push(narrow(part.server));
             columns
                 .tokens
-                .push(narrow(u64::from(part.tokens) / TOKEN_UNIT));
+                .push(narrow(u64::from(part.tokens).div_ceil(TOKEN_UNIT)));
         }
         (!columns.keys.is_empty()).then_some(columns)
     }
