dispatch: keep the reserve for urgent ranks in proportion to the limit

Cause: the reserve was a share of the configured bounds, so that at the lowest factor (1/3) two reserves left lower ranks a quarter of the limit, and a high slowdown closed an engine whose prompts wait for 50 ms, less than a report period.

Change: the reserve is a share of the learned limit, and the slowdown counts up to 2.4, as measured.

--- a/crates/dispatch/src/capacity.rs
+++ b/crates/dispatch/src/capacity.rs
@@ -26,7 +26,7 @@
 /// engines compute urgent prompts first.
 const BACKLOG: Duration = Duration::from_millis(1_500);
 /// Upper bound on the slowdown that counts. Engines differ by a factor of up to 2.4; single late events by more.
-const MAX_SLOWDOWN: f64 = 3.0;
+const MAX_SLOWDOWN: f64 = 2.4;
 /// An engine with fewer requests than this is not full by its backlog: a single prompt of 70,000 tokens takes 2 s.
 const MIN_BACKLOG_REQUESTS: u32 = 4;
 /// Bounds of the factor. The lower one leaves half of an engine's slots, so that a server that refused for another
@@ -143,11 +143,11 @@
 }
 
 impl Limit {
-    /// Returns whether the server takes one more request. Its size does not count, or large requests would wait until
-    /// no small one arrives.
+    /// Returns whether the server takes one more request that leaves a share, `reserve`, of the limit to others. Its size
+    /// does not count, or large requests would wait until no small one arrives.
     #[must_use]
-    pub fn has_room(&self, now: Moment, fill: f64) -> bool {
-        now >= self.paused_until && fill < self.factor(now)
+    pub fn has_room(&self, now: Moment, fill: f64, reserve: f64) -> bool {
+        now >= self.paused_until && fill < self.factor(now) * (1.0 - reserve)
     }
 
     /// Returns the factor on the bounds.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -243,7 +243,7 @@
         reserve: f64,
     ) -> bool {
         let fill = self.fill(now, server, engine);
-        server.capacity.has_room(now, fill + reserve)
+        server.capacity.has_room(now, fill, reserve)
     }
 
     /// Returns the servers that may run a request.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -44,7 +44,7 @@
 const MAX_PACE_FACTOR: f64 = 6.0;
 /// Lower bound on that pace per second. A host that sends few requests does not overload a service.
 const MIN_PACE: f64 = 10.0;
-/// Share of a server's bounds that is kept for each more urgent rank with recent requests. Hosts do not know which
+/// Share of a server's limit that is kept for each more urgent rank with recent requests. Hosts do not know which
 /// requests wait at others; by this the most urgent ones of all hosts are sent first. A server still takes its slots of
 /// any rank.
 const RANK_RESERVE: f64 = 0.12;
@@ -433,7 +433,7 @@
         order.into_iter().take(count).map(|(_, id)| id).collect()
     }
 
-    /// Returns the share of a server's bounds that a request of a rank and team must leave to more urgent ones.
+    /// Returns the share of a server's limit that a request of a rank and team must leave to more urgent ones.
     #[must_use]
     pub fn reserve(&self, now: Moment, rank: u8, team: &TeamId) -> f64 {
         if self.is_starved(now, rank, team) {
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -57,19 +57,19 @@
         },
     ] {
         assert!(
-            limit.has_room(ms(1), bounds().fill(&load, 1.0)),
+            limit.has_room(ms(1), bounds().fill(&load, 1.0), 0.0),
             "{load:?} fills the server"
         );
     }
     let unknown = Bounds::plain(0);
-    assert!(limit.has_room(ms(1), unknown.fill(&active(500), 1.0)));
+    assert!(limit.has_room(ms(1), unknown.fill(&active(500), 1.0), 0.0));
 }
 
 /// Guards against work beyond the capacity being sent: each bound counts by itself, and a slow server has less.
 #[test]
 fn a_server_is_full_by_any_of_its_bounds() {
     let limit = Limit::default();
-    let full = |load: Load, slowdown| !limit.has_room(ms(1), bounds().fill(&load, slowdown));
+    let full = |load: Load, slowdown| !limit.has_room(ms(1), bounds().fill(&load, slowdown), 0.0);
     assert!(full(active(SLOTS * 2), 1.0));
     let memory = Load {
         memory_tokens: MEMORY * 2,
@@ -102,8 +102,8 @@
     let half_of_the_slots = f64::from(SLOTS) / 2.0 / f64::from(bounds().active());
     assert!(lowest >= half_of_the_slots - 1e-9, "{lowest}");
     // It gets a request again soon after its last refusal, however many came before.
-    assert!(!limit.has_room(now, 0.0));
-    assert!(limit.has_room(now + ms(400), 0.0));
+    assert!(!limit.has_room(now, 0.0, 0.0));
+    assert!(limit.has_room(now + ms(400), 0.0, 0.0));
 }
 
 /// Guards against a limit that stays low after an overload, with or without requests that show it.
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -290,7 +290,7 @@
             bounds.fill(&load, 1.0)
         };
         let reserve = host.queue.reserve(now, job.rank, &job.team);
-        let has_room = |server: &usize| host.limits[*server].has_room(now, fill(*server) + reserve);
+        let has_room = |server: &usize| host.limits[*server].has_room(now, fill(*server), reserve);
         let open = (0..self.shape.servers).filter(has_room);
         let open: Vec<usize> = open.collect();
         if open.is_empty() {
@@ -309,7 +309,10 @@
         if server.down || server.queued.len() >= self.shape.queue {
             self.outcome.refused_by_servers += 1.0;
             host.limits[chosen].record_refusal(now, chosen as u64);
-            let is_full = !host.limits.iter().any(|limit| limit.has_room(now, 0.0));
+            let is_full = !host
+                .limits
+                .iter()
+                .any(|limit| limit.has_room(now, 0.0, 0.0));
             host.queue.record_refused(now, is_full);
             let mut job = job.clone();
             job.refusals += 1;
