dispatch: serve waiting requests that can be in time first

Cause: in a long overload a request waited up to half of its time left, so that those served were late by the wait, although as many others could have been served in time.

Change: within a rank, requests that can still meet their route's objective come before late ones. Late ones count on the rate that newer ones of their rank leave, so that they are refused early.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,7 +1,8 @@
 //! The requests of one service that wait at this host, because all servers that may run them are full.
 //!
 //! The next one is that of the most urgent rank, then of the team that has received least of the service's recent
-//! capacity, then the one that must begin first. Retries come after first attempts. Ranks and teams that are served
+//! capacity, then the one that must begin first. Retries come after first attempts, and requests that are late already
+//! after those that can be answered in time: otherwise all would be late in a long overload. Ranks and teams that are served
 //! much less often than all requests come before the others, so that none starves.
 //!
 //! A request waits only while it can still be served in time at the rate at which this host has sent requests recently.
@@ -53,10 +54,10 @@
 /// Requests that may leave at once.
 const PACE_BURST: f64 = 4.0;
 /// Factor on the rate of accepted requests at which a service that refuses gets requests.
-const LIMIT_DECREASE: f64 = 0.7;
+const LIMIT_DECREASE: f64 = 0.6;
 /// The limit does not fall below the rate of accepted requests multiplied by this. Without it, the limits of all hosts
 /// fall below the capacity together when a burst begins.
-const LIMIT_FLOOR: f64 = 0.7;
+const LIMIT_FLOOR: f64 = 0.5;
 /// Increase of that limit per second, as a share of its value.
 const LIMIT_GROWTH_PER_S: f64 = 0.05;
 /// The same until a request is refused again. When a burst begins, the rate of accepted requests is that of the load
@@ -121,6 +122,8 @@
         pub bytes: usize,
         /// Its deadline.
         pub deadline: Moment,
+        /// Time until which an answer, or its first event, is in time. Later ones still count, but less.
+        pub objective: Moment,
         /// Expected time at an idle server.
         pub needs: Duration,
     }
@@ -229,6 +232,8 @@
     starved: u8,
     rank: u8,
     retry: bool,
+    /// Whether it can no longer be answered in time.
+    late: bool,
     work: f64,
     latest_start: Moment,
 }
@@ -390,7 +395,7 @@
             .filter(|other| self.position(now, other) <= position)
             .count();
         self.observe_wait(now);
-        if now + self.expected_wait(now, position.rank, ahead) > latest_start {
+        if now + self.expected_wait(now, position.rank, position.late, ahead) > latest_start {
             return Err(self.refuse(now, left));
         }
         let is_full = self.entries.len() >= self.bounds.requests
@@ -484,7 +489,8 @@
         let mut ahead = 0;
         let mut shed = Vec::new();
         for (position, id) in self.order(now) {
-            let starts = now + self.expected_wait(now, position.rank, ahead);
+            let wait = self.expected_wait(now, position.rank, position.late, ahead);
+            let starts = now + wait;
             // The first one is expected to leave next, whatever the rate.
             let starts = if ahead == 0 { now } else { starts };
             if starts > latest[&id] {
@@ -504,7 +510,7 @@
     pub fn refuse(&mut self, now: Moment, left: Duration) -> NoRoom {
         self.refused += 1;
         let interval = Duration::from_secs_f64(1.0 / self.rate(now));
-        let drained = now + self.expected_wait(now, 0, self.entries.len());
+        let drained = now + self.expected_wait(now, 0, false, self.entries.len());
         self.last_return = drained
             .max(self.last_return + interval)
             .min(now + MAX_RETURN);
@@ -555,32 +561,33 @@
         (sent / RATE_WINDOW.as_secs_f64()).max(MIN_RATE)
     }
 
-    /// Returns the requests of a rank that this host sends in a second when more urgent ones, which may arrive at any
+    /// Returns the requests that this host sends in a second when those that come before a position, and may arrive at any
     /// time, go first. Ranks that would starve keep their share.
-    fn rate_of(&self, now: Moment, rank: u8) -> f64 {
+    fn rate_of(&self, now: Moment, rank: u8, late: bool) -> f64 {
         let offered =
             |demand: &Demand| demand.offered.get(now, SHARE_WINDOW) / SHARE_WINDOW.as_secs_f64();
         let ranks = self.ranks.iter();
         let urgent: f64 = ranks
-            .filter(|(other, _)| **other < rank)
+            .filter(|(other, _)| **other < rank || (late && **other == rank))
             .map(|(_, demand)| offered(demand))
             .sum();
         let own = self.ranks.get(&rank).map_or(0.0, offered);
         let share = self.all.served_share(now).unwrap_or(1.0).min(1.0);
         let rate = self.rate(now);
+        let least = if late { 0.0 } else { own * share };
         (rate - urgent)
-            .max(own * share * MIN_SERVED_SHARE)
+            .max(least * MIN_SERVED_SHARE)
             .clamp(MIN_RATE, rate)
     }
 
-    /// Returns the expected time until a request of a rank with so many ahead of it is sent.
-    fn expected_wait(&self, now: Moment, rank: u8, ahead: usize) -> Duration {
+    /// Returns the expected time until a request with so many ahead of it is sent.
+    fn expected_wait(&self, now: Moment, rank: u8, late: bool, ahead: usize) -> Duration {
         let recent = |(began, _)| now.saturating_sub(began) < EVIDENCE_TIME;
         if self.shortage.is_none_or(recent) {
             return Duration::ZERO;
         }
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
-        Duration::from_secs_f64(ahead / self.rate_of(now, rank))
+        Duration::from_secs_f64(ahead / self.rate_of(now, rank, late))
     }
 
     fn renew_permits(&mut self, now: Moment) {
@@ -629,13 +636,19 @@
 
     fn position(&self, now: Moment, entry: &Entry) -> Position {
         let Request {
-            rank, team, retry, ..
+            rank,
+            team,
+            retry,
+            objective,
+            needs,
+            ..
         } = &entry.request;
         let work = self.teams.get(team).map(|team| team.work);
         Position {
             starved: u8::from(!self.is_starved(now, *rank, team)),
             rank: *rank,
             retry: *retry,
+            late: now + *needs > *objective,
             work: work.map_or(0.0, |work| work.get(now, SHARE_WINDOW)),
             latest_start: entry.latest_start,
         }
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -57,6 +57,7 @@
 };
 const STEP: Duration = Duration::from_millis(5);
 const DEADLINE: Duration = Duration::from_millis(2_500);
+const OBJECTIVE: Duration = Duration::from_millis(800);
 /// Servers that may get one request.
 const ATTEMPTS: u32 = 3;
 const TEAMS: usize = 16;
@@ -68,6 +69,7 @@
         retry: false,
         bytes: 1_000,
         deadline: now + DEADLINE,
+        objective: now + OBJECTIVE,
         needs: ms(100),
     }
 }
@@ -120,6 +122,8 @@
     waited: u32,
     /// Time for which refused requests were held, in total.
     held: Duration,
+    /// Requests that began in time.
+    in_time: f64,
     refused: u32,
 }
 
@@ -359,6 +363,8 @@
                     self.outcome.refused_by_servers += 1.0;
                     continue;
                 }
+                let in_time = now <= job.arrived + OBJECTIVE;
+                self.outcome.in_time += f64::from(u8::from(in_time));
                 server.running.push((now + service, job));
             }
         }
@@ -391,6 +397,8 @@
         assert!(refused <= 0.1, "{load}: servers refuse {refused}");
         let used = outcome.all.served / (PLAIN.capacity() * 10.0);
         assert!(used >= 0.95, "{load}: {used} of the capacity used");
+        let in_time = outcome.in_time / outcome.all.served;
+        assert!(in_time >= 0.98, "{load}: {in_time} of the served in time");
         outcome.assert_nobody_starves();
         let held = outcome.held / outcome.refused;
         assert!(held <= ms(400), "{load}: refused after {held:?}");
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -69,7 +69,7 @@
     pub(crate) shared_parts: SmallVec<[PartId; 4]>,
     /// Hash of what a caller who repeats the request sends again.
     pub(crate) fingerprint: u64,
-    arrived: Moment,
+    pub(crate) arrived: Moment,
     /// Uses the clock that also runs while the host is suspended, because the caller's clock does.
     deadline: Moment,
     /// Servers that further attempts avoid.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -426,6 +426,7 @@
             retry: self.was_sent(),
             bytes: self.body.len(),
             deadline: self.hub.now() + self.time_left(),
+            objective: self.arrived + self.route.objective.unwrap_or(Duration::MAX / 2),
             needs: idle_time(self.prompt.as_ref()),
         }
     }
