gateway: answer waiting requests when no server is left

Cause: a waiting request looked for a server only when one of the service had room. When all servers were gone or paused, it waited for up to half of its time left.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -495,7 +495,9 @@
                 }
             }
             service.full = 0;
-            if has_room {
+            // Without a server that has room, some of the first ones look for one less often. They fail at once when no
+            // server is left that may run them.
+            if has_room || sheds {
                 service.pass_turn(hub);
             }
         });
