--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -57,19 +57,19 @@
         },
     ] {
         assert!(
-            limit.has_room(ms(1), bounds().fill(&load, 1.0)),
+            limit.has_room(ms(1), bounds().fill(&load, 1.0), 0.0),
             "{load:?} fills the server"
         );
     }
     let unknown = Bounds::plain(0);
-    assert!(limit.has_room(ms(1), unknown.fill(&active(500), 1.0)));
+    assert!(limit.has_room(ms(1), unknown.fill(&active(500), 1.0), 0.0));
 }
 
 /// Guards against work beyond the capacity being sent: each bound counts by itself, and a slow server has less.
 #[test]
 fn a_server_is_full_by_any_of_its_bounds() {
     let limit = Limit::default();
-    let full = |load: Load, slowdown| !limit.has_room(ms(1), bounds().fill(&load, slowdown));
+    let full = |load: Load, slowdown| !limit.has_room(ms(1), bounds().fill(&load, slowdown), 0.0);
     assert!(full(active(SLOTS * 2), 1.0));
     let memory = Load {
         memory_tokens: MEMORY * 2,
@@ -102,8 +102,8 @@
     let half_of_the_slots = f64::from(SLOTS) / 2.0 / f64::from(bounds().active());
     assert!(lowest >= half_of_the_slots - 1e-9, "{lowest}");
     // It gets a request again soon after its last refusal, however many came before.
-    assert!(!limit.has_room(now, 0.0));
-    assert!(limit.has_room(now + ms(400), 0.0));
+    assert!(!limit.has_room(now, 0.0, 0.0));
+    assert!(limit.has_room(now + ms(400), 0.0, 0.0));
 }
 
 /// Guards against a limit that stays low after an overload, with or without requests that show it.
@@ -312,24 +312,26 @@
 /// drawn candidates of the others must stay, or their cached parts are computed again.
 #[test]
 fn a_full_server_changes_only_the_placement_of_its_own_requests() {
-    let mut host = Host::new();
-    let keys = host.keys("lm");
-    let full = keys[0];
-    host.directory.get_mut(full).expect("known").load = active(48);
-    for (prefill_ms, key) in (0..).step_by(150).zip(&keys[1..]) {
-        host.directory.get_mut(*key).expect("known").load = Load {
-            prefill_us: prefill_ms * 1_000,
-            ..active(3)
-        };
-    }
+    let mut keys = Host::new().keys("lm");
+    keys.sort_unstable();
     let (mut same, mut all) = (0, 0);
-    for call in 0..400 {
-        let prompt = prompt(&format!("d-{}", call % 40), 4_800, 900);
-        let (checked, unchecked) = host.place(ms(call), call, Some(&prompt));
-        assert_ne!(checked, Ok(full));
-        if unchecked != Some(full) {
-            all += 1;
-            same += u32::from(checked.ok() == unchecked);
+    for full in keys.iter().copied() {
+        let mut host = Host::new();
+        for (prefill_ms, key) in (0..).step_by(150).zip(&keys) {
+            host.directory.get_mut(*key).expect("known").load = Load {
+                prefill_us: prefill_ms * 1_000,
+                ..active(3)
+            };
+        }
+        host.directory.get_mut(full).expect("known").load = active(48);
+        for call in 0..400 {
+            let prompt = prompt(&format!("d-{}", call % 40), 4_800, 900);
+            let (checked, unchecked) = host.place(ms(call), call, Some(&prompt));
+            assert_ne!(checked, Ok(full));
+            if unchecked != Some(full) {
+                all += 1;
+                same += u32::from(checked.ok() == unchecked);
+            }
         }
     }
     assert!(same * 10 >= all * 9, "{same} of {all}");
