--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -697,8 +697,10 @@
         }
         let burst = fleet.burst(limit);
         let free = FREE_PART * report::PERIOD.div_duration_f64(fleet.age).min(1.0);
-        let unseen = (self.demand_now(now) + self.peer_demand) * fleet.age.as_secs_f64();
-        unseen.max(burst * (1.0 - free)).min(burst)
+        // Only the others' charges are seen late.
+        let others = 1.0 - self.share(now, fleet);
+        let unseen = self.peer_demand * fleet.age.as_secs_f64();
+        unseen.max(burst * (1.0 - free) * others).min(burst)
     }
 
     /// Returns the units a second that all live hosts together take while they are paced.
