--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -500,3 +500,30 @@
     assert!(served > 0.98, "{served}");
     fleet.assert_rule("cut off", Moment::ZERO, limit);
 }
+
+/// Guards against retry times that are too early, and against requests that have not run being charged here or at other
+/// hosts.
+#[test]
+fn a_refusal_states_when_to_return_and_a_charge_is_given_back() {
+    let mut fleet = Fleet::new(2, tokens(100_000.0), 10);
+    fleet.run(SETTLED, 0.0, To::All);
+    let (team, now) = (team_key(TEAM), fleet.now);
+    let charge = fleet.books[0].admit(now, team, Some(300_000));
+    let charge = charge.expect("admitted").expect("a limit");
+    let refusal = fleet.books[0].admit(now, team, None).expect_err("refused");
+    // 200,000 in debt; half of the burst is there after 2.5 s.
+    assert!(
+        (ms(2_490)..ms(3_150)).contains(&refusal.wait),
+        "{refusal:?}"
+    );
+    fleet.run(ms(500), 0.0, To::All);
+    let now = fleet.now;
+    fleet.books[1].admit(now, team, None).expect_err("refused");
+    fleet.books[0].give_back(now, charge);
+    fleet.books[0].admit(now, team, None).expect("admitted");
+    fleet.run(ms(500), 0.0, To::All);
+    let now = fleet.now;
+    fleet.books[1].admit(now, team, None).expect("admitted");
+    let unlimited = fleet.books[0].admit(now, team_key("other"), None);
+    assert!(matches!(unlimited, Ok(None)));
+}
