Spread the reads of hosts that miss the holder of the lease

When a holder was killed, all hosts read the lease 0.3 s later at once. The first read is now delayed by rank; 300 hosts read fewer than 60 times a second (test in virtual time).

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -28,6 +28,8 @@
 /// A holder that has not reported for this long, while there is work, may have renewed its lease since. Its object is
 /// then read, so that the time of the renewal is known when the holder turns out to be gone. Hosts report every 200 ms.
 const HOLDER_SILENCE: Duration = Duration::from_millis(300);
+/// Delay of the first of these reads, by rank: when a holder is killed, all hosts miss its reports at once.
+const SILENCE_RANK_DELAY: Duration = Duration::from_millis(50);
 /// Delay between these reads at the host of rank 0. The host of rank n waits n + 1 times as long, so that 300 hosts make
 /// 21 reads per second together.
 const SILENCE_READ_DELAY: Duration = Duration::from_millis(300);
@@ -336,7 +338,8 @@
 
     /// Returns the step of a host that waits for the lease of another one, of which it last heard at a time.
     fn watch_silent_holder(&mut self, now: Moment, heard: Moment, rank: u32) -> Step {
-        if now < (heard + HOLDER_SILENCE).max(self.next_silence_read) {
+        let silent_at = heard + HOLDER_SILENCE + SILENCE_RANK_DELAY * rank;
+        if now < silent_at.max(self.next_silence_read) {
             return Step::Wait;
         }
         self.next_silence_read = now + SILENCE_READ_DELAY * rank.saturating_add(1);
--- a/crates/dispatch/tests/lease.rs
+++ b/crates/dispatch/tests/lease.rs
@@ -201,6 +201,27 @@
     assert_eq!(a.held_fence(ms(19_999)), Some(fence(1)));
 }
 
+/// Guards against reads by all hosts whenever a holder is killed, each of which has a price: 300 hosts together make fewer
+/// than 60 a second until one takes over.
+#[test]
+fn hosts_that_miss_a_holder_read_seldom() {
+    let (mut store, mut a) = (Store::default(), lease("a"));
+    run(&mut store, &mut a, 0, 1_000, 2_000);
+    let (revision, record) = store.shown().expect("a lease");
+    let mut reads = 0;
+    for rank in 0..300 {
+        let mut host = lease(&format!("host-{rank}"));
+        host.set_wanted(ms(1_000), true);
+        host.observe_holder(ms(2_000), revision, record.clone());
+        for now in (2_000..5_000).step_by(100) {
+            let step = host.step(ms(now), rank);
+            reads += usize::from(step == Step::Read);
+            store.carry_out(ms(now), &mut host, step);
+        }
+    }
+    assert!(reads < 3 * 60, "{reads}");
+}
+
 /// Guards against a takeover after a kill that is slower than when the last report of the holder decided: at most 3.6 s
 /// after that report, 3.0 s when all renewals had been reported.
 #[test]
