--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -34,8 +34,8 @@
 
 /// Largest number of hosts that get a whole report in one round.
 const MAX_WHOLE_RECEIVERS: usize = 8;
-/// Shared parts are reported for this long: in one or two reports to each host. A lost one costs a prefill at most.
-const PARTS_REPORTED_FOR: Duration = Duration::from_millis(250);
+/// Shared parts are reported for this long, since reports may be lost.
+const PARTS_REPORTED_FOR: Duration = Duration::from_millis(450);
 /// Largest number of parts that a report names.
 const MAX_PARTS: usize = 64;
 /// Largest number of other hosts that a report names. Each report names a new random choice, so that every host learns
