--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -173,7 +173,7 @@
     /// Keys of servers, which have 32 bits.
     #[prost(fixed32, repeated, tag = "2")]
     servers: Vec<u32>,
-    /// Numbers of tokens, in units of `TOKEN_UNIT`, rounded down.
+    /// Numbers of tokens, in units of `TOKEN_UNIT`, rounded up: a part counts as cached only if all of its tokens are.
     #[prost(uint32, repeated, tag = "3")]
     tokens: Vec<u32>,
 }
@@ -202,7 +202,7 @@
             columns.servers.push(narrow(part.server));
             columns
                 .tokens
-                .push(narrow(u64::from(part.tokens) / TOKEN_UNIT));
+                .push(narrow(u64::from(part.tokens).div_ceil(TOKEN_UNIT)));
         }
         (!columns.keys.is_empty()).then_some(columns)
     }
