placement: choose by an estimate of what other hosts have sent since their reports

Cause: all hosts choose the server with the lowest score by the same reports, so servers are overloaded in turns until the next reports.

Change: `dispatch::estimate` learns the rate and cost of requests of each service. With an estimate, placement chooses among its candidates at random, in proportion to the requests that would fill them to one common level; server speeds are learned from the times of first events and answers. Without an estimate placement is unchanged.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     ServerKey, ServiceName,
+    estimate::Speed,
     health::Health,
     limit::{Call, Fleet, Rate, Statement},
     load::Load,
@@ -70,6 +71,8 @@
     pub load: Load,
     /// Share of recent time that it spent on the prefill of all hosts' prompts.
     pub pressure: Pressure,
+    /// Its speed, by the experience of all hosts.
+    pub speed: Speed,
     missing_since: Option<Moment>,
     updating_until: Option<Moment>,
     /// Whether another server listens at its address.
@@ -160,6 +163,7 @@
             health: Health::default(),
             load: Load::default(),
             pressure: Pressure::default(),
+            speed: Speed::default(),
             missing_since: None,
             updating_until: None,
             replaced: false,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod config;
 pub mod directory;
+pub mod estimate;
 pub mod health;
 pub mod holdings;
 pub mod lease;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -68,6 +68,8 @@
     totals: HashMap<ServerKey, Load>,
     /// Share of the other hosts whose reports have not expired.
     reporting_share: f64,
+    /// Sum of the times in microseconds at which the reports were received.
+    received_us: u128,
 }
 
 impl<P> Default for Peers<P> {
@@ -76,6 +78,7 @@
             reports: HashMap::new(),
             totals: HashMap::new(),
             reporting_share: 1.0,
+            received_us: 0,
         }
     }
 }
@@ -102,6 +105,7 @@
         for (server, load) in &report.loads {
             self.totals.entry(*server).or_default().add(*load);
         }
+        self.received_us += now.as_micros();
         if let Some(previous) = self.reports.insert(peer, report) {
             self.subtract(&previous);
         }
@@ -136,6 +140,17 @@
         }
     }
 
+    /// Returns the mean age of the reports.
+    #[must_use]
+    pub fn mean_age(&self, now: Moment) -> Duration {
+        let received = self.received_us / (self.reports.len().max(1) as u128);
+        let received = Duration::from_micros(u64::try_from(received).unwrap_or(u64::MAX));
+        if self.reports.is_empty() {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(received)
+    }
+
     /// Returns the number of peers whose reports count.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -150,6 +165,7 @@
 
     /// Subtracts a report from the totals.
     fn subtract(&mut self, report: &Report) {
+        self.received_us = self.received_us.saturating_sub(report.received.as_micros());
         for (server, load) in &report.loads {
             if let Some(total) = self.totals.get_mut(server) {
                 total.subtract(*load);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -14,6 +14,7 @@
     admission::Reason,
     config::Engine,
     directory::{Directory, Server},
+    estimate::{Estimate, Outlook},
     holdings::Holdings,
     limit::Call,
     load::{Load, Peers},
@@ -69,6 +70,9 @@
 const SHORT_RANDOM_CANDIDATES: usize = 12;
 /// The same for plain services, which have few servers and requests that take tens of milliseconds.
 const PLAIN_RANDOM_CANDIDATES: usize = 3;
+/// Combined with the identity of a request, draws the choice among candidates. The candidates are drawn with small
+/// numbers.
+const EVEN_DRAW: u64 = 1 << 32;
 /// A request may begin this many times later than expected, and must still not begin on weights that are too old.
 const BEGIN_MARGIN: u32 = 3;
 /// Share of an engine's memory that running requests may fill before others wait for memory.
@@ -98,6 +102,8 @@
     pub reach: &'a Reach,
     /// Data centre of this host.
     pub data_centre: &'a DataCentre,
+    /// The traffic by which load is evened out; `None` to take reports as they are and the lowest score.
+    pub estimate: Option<&'a Estimate>,
 }
 
 jaystand_types::common! { value
@@ -226,8 +232,13 @@
         order: &[(u64, &Server)],
         sample: Option<&Sample>,
     ) -> Option<Choice> {
+        let outlook = self
+            .estimate
+            .map(|estimate| estimate.outlook(query.service, self.peers.mean_age(now)));
         let mut cache_keys = CacheKeys::default();
         let mut best: Option<(f64, Choice)> = None;
+        let mut scored: SmallVec<[(f64, f64); 16]> = SmallVec::new();
+        let mut choices: SmallVec<[Choice; 16]> = SmallVec::new();
         for (rank, (_, server)) in order.iter().enumerate() {
             let is_sampled = sample.is_none_or(|sample| sample.contains(rank));
             if !is_sampled && !self.has_cached_all(now, query, &mut cache_keys, server) {
@@ -242,20 +253,66 @@
                         .map(|(_, other)| *other)
                         .find(|other| other.entry.version(&prompt.model) == version);
                     let coverage = self.coverage(now, prompt, keys, server, first, rank);
-                    self.score_engine(now, query, prompt, server, version, &coverage)
+                    self.score_engine(now, query, prompt, server, &coverage, outlook)
                 }
-                None => self.score_plain(now, server),
+                None => self.score_plain(now, server, outlook),
             };
             if self.begins_too_late(now, query, &choice) {
                 continue;
             }
+            if let Some(outlook) = outlook {
+                let cost = self.request_cost_ms(now, query, server, &choice, outlook);
+                scored.push((score, cost));
+                choices.push(choice);
+                continue;
+            }
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
                 best = Some((score, choice));
             }
         }
+        if let Some(outlook) = outlook {
+            let draw = prompt::mix(query.call, EVEN_DRAW);
+            return outlook
+                .pick(&scored, draw)
+                .map(|index| choices.swap_remove(index));
+        }
         best.map(|(_, choice)| choice)
     }
 
+    /// Returns the load on a server by this host's requests and by reports.
+    fn load(&self, server: &Server) -> Load {
+        let mut load = server.load;
+        load.add(self.peers.total(server.key));
+        load
+    }
+
+    /// Returns by how much one more request of its service raises a server's score.
+    fn request_cost_ms(
+        &self,
+        now: Moment,
+        query: &Query<'_>,
+        server: &Server,
+        choice: &Choice,
+        outlook: Outlook,
+    ) -> f64 {
+        let ms = if query.prompt.is_some() {
+            let load = self.load(server);
+            let slots = query.engine.map_or(server.entry.slots, |e| e.slots);
+            let queued = if load.active >= slots {
+                QUEUED_REQUEST_MS
+            } else {
+                0.0
+            };
+            outlook.request_ms()
+                + ACTIVE_REQUEST_MS
+                + queued
+                + PREFILL_INTERFERENCE * to_f64(choice.load.prefill_us) / 1_000.0
+        } else {
+            PLAIN_ANSWER_MS / f64::from(server.entry.slots.max(1))
+        };
+        ms * slowdown_factor(now, server, Some(outlook))
+    }
+
     /// Returns whether a server has cached all shared parts of the request's prompt, as far as is known.
     fn has_cached_all(
         &self,
@@ -420,15 +477,15 @@
         query: &Query<'_>,
         prompt: &Prompt,
         server: &Server,
-        version: Option<Version>,
         coverage: &Coverage,
+        outlook: Option<Outlook>,
     ) -> (f64, Choice) {
+        let version = server.entry.version(&prompt.model);
         let input = f64::from(prompt.input_tokens);
         let uncached = (input - coverage.cached - coverage.fetched).max(0.0);
         let uncached_shared =
             (f64::from(prompt.shared_tokens()) - coverage.cached - coverage.fetched).max(0.0);
-        let mut load = server.load;
-        load.add(self.peers.total(server.key));
+        let load = self.load(server);
         let prefill_ms = uncached / TOKENS_PER_MS + uncached * input * TOKEN_PAIR_MS;
         let mut ms = FIRST_TOKEN_MS + to_f64(load.prefill_us) / 1_000.0 + prefill_ms;
         if coverage.source.is_some() {
@@ -448,7 +505,7 @@
             // Engines begin a short urgent prompt before the long ones that wait for more memory.
             ms += MEMORY_WAIT_FACTOR * excess.min(to_f64(prompt.memory_tokens())) / TOKENS_PER_MS;
         }
-        ms *= slowdown_factor(now, server);
+        ms *= slowdown_factor(now, server, outlook);
         ms += f64::from(u32::try_from(server.entry.warm_up_left.as_millis().min(500)).unwrap_or(0))
             * 0.1;
         let mut score = ms + (RECOMPUTE_WEIGHT - 1.0) * uncached_shared / TOKENS_PER_MS;
@@ -474,14 +531,22 @@
     }
 
     /// Returns the score of a server of a plain service, where lower is better, and the choice that it would give.
-    fn score_plain(&self, now: Moment, server: &Server) -> (f64, Choice) {
-        let mut load = server.load;
-        load.add(self.peers.total(server.key));
-        let busy = f64::from(load.active) / f64::from(server.entry.slots.max(1));
+    fn score_plain(&self, now: Moment, server: &Server, outlook: Option<Outlook>) -> (f64, Choice) {
+        let others = self.peers.total(server.key).active;
+        let in_flight = match outlook {
+            // Reports are older than a request lasts.
+            Some(outlook) => f64::from(server.load.active) + outlook.in_flight(others),
+            None => f64::from(server.load.active + others),
+        };
+        let busy = in_flight / f64::from(server.entry.slots.max(1));
         let mut ms = PLAIN_ANSWER_MS * (1.0 + busy);
-        ms *= slowdown_factor(now, server);
+        ms *= slowdown_factor(now, server, outlook);
         // Without the rounding, a slightly better server would get all requests.
-        let mut score = (ms / PLAIN_ROUNDING_MS).round() * PLAIN_ROUNDING_MS;
+        let mut score = if outlook.is_some() {
+            ms
+        } else {
+            (ms / PLAIN_ROUNDING_MS).round() * PLAIN_ROUNDING_MS
+        };
         score += self.distance_ms(server);
         let choice = Choice {
             server: server.key,
@@ -499,9 +564,13 @@
     }
 }
 
-/// Returns how many times longer a server takes than expected, by the outcomes that this host has seen.
-fn slowdown_factor(now: Moment, server: &Server) -> f64 {
-    server.health.slowdown(now) * (1.0 + ERROR_FACTOR * server.health.error_rate(now).powi(2))
+/// Returns how many times longer a server takes than expected, by the outcomes and times that this host has seen.
+fn slowdown_factor(now: Moment, server: &Server, outlook: Option<Outlook>) -> f64 {
+    let slowdown = outlook.map_or_else(
+        || server.health.slowdown(now),
+        |outlook| outlook.slowness(now, &server.speed),
+    );
+    slowdown * (1.0 + ERROR_FACTOR * server.health.error_rate(now).powi(2))
 }
 
 /// The servers that are compared for a request, by their rank in the order: the first ones, and some others that are
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -70,6 +70,7 @@
             stores: &self.stores,
             reach: &self.reach,
             data_centre: &self.home,
+            estimate: None,
         }
     }
 
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -1,9 +1,12 @@
 //! Simulated hosts that place requests on engines and report their loads to each other, in virtual time.
 
+use std::time::Duration;
+
 use jaystand_dispatch::{
     ServerKey, ServiceName,
     config::Engine,
     directory::Directory,
+    estimate::{Estimate, Sample},
     holdings::Holdings,
     load::{Load, Peers},
     placement::{Choice, Query, Store, View},
@@ -16,11 +19,12 @@
 use super::{engine, ms};
 
 /// The state of one host.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Host {
     pub directory: Directory,
     pub peers: Peers<usize>,
     pub holdings: Holdings,
+    pub estimate: Option<Estimate>,
 }
 
 impl Host {
@@ -39,6 +43,43 @@
         server.load.subtract(load);
     }
 
+    /// Adds the load of a request to its server.
+    pub fn send(&mut self, server: ServerKey, load: Load) {
+        let server = self.directory.get_mut(server).expect("known");
+        server.load.add(load);
+        if let Some(estimate) = &mut self.estimate {
+            estimate.record_sent(&server.entry.service, load);
+        }
+    }
+
+    /// Records the time to a first token.
+    pub fn observe(&mut self, now: Moment, server: ServerKey, took: Duration, expected: Duration) {
+        let server = self.directory.get_mut(server).expect("known");
+        if let Some(estimate) = &mut self.estimate {
+            let service = &server.entry.service;
+            estimate.record_time(now, service, &mut server.speed, took, expected);
+        }
+        let base = expected.as_secs_f64() / server.health.slowdown(now);
+        let ratio = took.as_secs_f64() / base.max(1e-3);
+        server.health.observe_slowdown(ratio);
+    }
+
+    /// Does what is due at each report.
+    pub fn tick(&mut self, now: Moment, hosts: usize) {
+        self.peers.expire(now, hosts);
+        if let Some(estimate) = &mut self.estimate {
+            let servers = self.directory.iter();
+            estimate.observe(
+                now,
+                servers.map(|server| Sample {
+                    service: &server.entry.service,
+                    own: server.load.active,
+                    others: self.peers.total(server.key).active,
+                }),
+            );
+        }
+    }
+
     /// Adds the load of a choice to its server.
     pub fn add(&mut self, choice: &Choice) {
         let server = self.directory.get_mut(choice.server).expect("known");
@@ -97,6 +138,19 @@
         holdings: &Holdings,
         call: u64,
         prompt: &Prompt,
+    ) -> Choice {
+        self.place_avoiding(now, host, holdings, call, prompt, &[])
+    }
+
+    /// Does the same without some servers.
+    pub fn place_avoiding(
+        &self,
+        now: Moment,
+        host: &Host,
+        holdings: &Holdings,
+        call: u64,
+        prompt: &Prompt,
+        avoid: &[ServerKey],
     ) -> Choice {
         let view = View {
             directory: &host.directory,
@@ -106,13 +160,14 @@
             stores: &[] as &[Store],
             reach: &self.reach,
             data_centre: &self.home,
+            estimate: host.estimate.as_ref(),
         };
         let query = Query {
             call,
             service: &self.service,
             engine: Some(&self.engine),
             prompt: Some((prompt, &self.salt)),
-            avoid: &[],
+            avoid,
         };
         view.choose(now, &query).expect("a server")
     }
