gateway: setting [placement] even_load

Change: with `[placement] even_load = true` the process keeps a `dispatch::estimate::Estimate`, and placement uses it. The default is false, and placement is then as before; a reload does not change the setting.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -504,6 +504,7 @@
             stores: &state.part_stores,
             reach: &state.reach,
             data_centre: &settings.data_centre,
+            estimate: state.estimate.as_ref(),
         };
         let query = Query {
             call: prompt::hash(self.id.as_bytes()),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,6 +18,7 @@
     budget::{Budget, Sharers},
     config::Configuration,
     directory::{Change, Directory, Server},
+    estimate::{Estimate, Sample},
     holdings::Holdings,
     lease::{Fence, Record},
     limit::{Call, Origin, Rate},
@@ -123,6 +124,8 @@
     /// Reachable stores of cached prompt parts.
     pub(crate) part_stores: Vec<PartStore>,
     pub(crate) peers: Peers<IpAddr>,
+    /// The requests that other hosts have sent since their reports; `None` if placement takes reports as they are.
+    pub(crate) estimate: Option<Estimate>,
     pub(crate) hosts: HashMap<IpAddr, Host>,
     pub(crate) config_feed: Feed,
     pub(crate) servers_feed: Feed,
@@ -234,6 +237,7 @@
             suspicions: Suspicions::default(),
             part_stores: Vec::new(),
             peers: Peers::default(),
+            estimate: settings.even_load.then(Estimate::default),
             hosts: HashMap::new(),
             config_feed: Feed::default(),
             servers_feed: Feed::default(),
@@ -682,6 +686,14 @@
         self.directory.observe_prompts(now, |server| {
             Duration::from_micros(server.load.prefill_us + peers.total(server.key).prefill_us)
         });
+        if let Some(estimate) = &mut self.estimate {
+            let samples = self.directory.iter().map(|server| Sample {
+                service: &server.entry.service,
+                own: server.load.active,
+                others: peers.total(server.key).active,
+            });
+            estimate.observe(now, samples);
+        }
     }
 
     pub(crate) fn feed(&mut self, kind: Kind) -> &mut Feed {
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -44,8 +44,13 @@
     /// Records how long an answer, or its first event, took relative to what was expected of the server.
     pub(crate) fn record_slowdown(&self, server: ServerKey, took: Duration, expected: Duration) {
         let now = self.hub.now();
-        let mut state = self.hub.state.borrow_mut();
+        let state = &mut *self.hub.state.borrow_mut();
         if let Some(server) = state.directory.get_mut(server) {
+            if let Some(estimate) = &mut state.estimate {
+                let service = &server.entry.service;
+                estimate.record_time(now, service, &mut server.speed, took, expected);
+                return;
+            }
             let slowdown = server.health.slowdown(now);
             let base = expected.as_secs_f64() / slowdown;
             server
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -80,6 +80,8 @@
     #[serde(default)]
     limits: LimitsDocument,
     #[serde(default)]
+    placement: PlacementDocument,
+    #[serde(default)]
     log: LogDocument,
 }
 
@@ -129,6 +131,13 @@
     link_mbps: Option<f64>,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlacementDocument {
+    #[serde(default)]
+    even_load: bool,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogDocument {
@@ -148,6 +157,8 @@
     /// Hosts that get reports even if they are not known to be live, to learn of the other hosts.
     pub(crate) seeds: Vec<IpAddr>,
     pub(crate) listen: Listen,
+    /// Whether placement estimates what other hosts have sent since their reports, to even out the servers' load.
+    pub(crate) even_load: bool,
     pub(crate) store: SocketAddr,
     /// Time from the request to stop until the process is killed.
     pub(crate) grace: Duration,
@@ -240,6 +251,7 @@
                 .transpose()?,
             seeds: document.seeds.iter().map(SocketAddr::ip).collect(),
             bootstrap: document.bootstrap,
+            even_load: document.placement.even_load,
             host: document.host,
             data_centre: document.data_centre,
             peer_port: document.peer_port,
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -31,8 +31,12 @@
 
 impl Ticket {
     pub(crate) fn new(hub: &Rc<Hub>, server: ServerKey, load: Load) -> Self {
-        if let Some(server) = hub.state.borrow_mut().directory.get_mut(server) {
+        let state = &mut *hub.state.borrow_mut();
+        if let Some(server) = state.directory.get_mut(server) {
             server.load.add(load);
+            if let Some(estimate) = &mut state.estimate {
+                estimate.record_sent(&server.entry.service, load);
+            }
         }
         Self {
             hub: Rc::clone(hub),
