estimate: tests of plain services and of reports up to a second old

Cause: plain services and old reports were compared in trials only.

Change: virtual-time tests of three plain servers with 74 hosts, and of 74 hosts whose reports are up to a second old.

--- a/crates/dispatch/tests/estimate.rs
+++ b/crates/dispatch/tests/estimate.rs
@@ -25,7 +25,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use support::{
-    engine,
+    desk, engine,
     fleet::{Host, Site},
     ms, prompt,
 };
@@ -359,6 +359,12 @@
     check(Scenario::new(300, 200, 1.0));
 }
 
+/// Guards against the same with reports that are up to a second old.
+#[test]
+fn load_is_even_with_reports_of_a_second() {
+    check(Scenario::new(74, 1_000, 1.0));
+}
+
 /// Guards against an engine that gets the requests of all hosts until their next reports because it has returned empty.
 #[test]
 fn an_engine_that_returns_empty_is_not_flooded() {
@@ -388,6 +394,117 @@
     assert_eq!(outlook.pick(&[], 0), None);
 }
 
+/// Figures of a plain service with three servers of six slots, where a request takes 30 ms at speed 1.
+#[derive(Debug, Default)]
+struct PlainFigures {
+    requests: usize,
+    /// Requests at a server with 24 waiting ones.
+    refused: usize,
+    /// Requests that wait for longer than an objective of 150 ms allows.
+    late: usize,
+}
+
+fn simulate_plain(hosts: usize, slowness: [f64; 3], share: f64, chooser: Chooser) -> PlainFigures {
+    let mut random = Pcg64Mcg::seed_from_u64(3);
+    let mut host = Host::default();
+    let keys: Vec<ServerKey> = (0..3).map(|number| desk(number).key()).collect();
+    for number in 0..3 {
+        host.directory.upsert(desk(number));
+    }
+    host.estimate = matches!(chooser, Chooser::Even).then(Estimate::default);
+    let count = if matches!(chooser, Chooser::Perfect) {
+        1
+    } else {
+        hosts
+    };
+    let scenario = Scenario::new(count, 200, 1.0);
+    let mut world = World::new(scenario, chooser, 3);
+    world.hosts = vec![host; count];
+    let mut slots = [[0_u64; 6]; 3];
+    let mut ends: HashMap<u64, Vec<(usize, usize, Duration, Duration)>> = HashMap::new();
+    let capacity: f64 = slowness
+        .iter()
+        .map(|slowness| 6.0 / (30.0 * slowness))
+        .sum();
+    let mut figures = PlainFigures::default();
+    for tick in 0..30_000 {
+        for (number, server, took, expected) in ends.remove(&tick).unwrap_or_default() {
+            let load = Load {
+                active: 1,
+                ..Load::default()
+            };
+            world.hosts[number].subtract(keys[server], load);
+            if !took.is_zero() {
+                world.hosts[number].observe(ms(tick), keys[server], took, expected);
+            }
+        }
+        for sender in 0..count {
+            if tick % 200 == world.phases[sender] {
+                world.report(ms(tick), sender);
+            }
+        }
+        if !random.random_bool(share * capacity) {
+            continue;
+        }
+        let number = random.random_range(0..count);
+        let choice = world
+            .site
+            .place_plain(ms(tick), &world.hosts[number], mix(tick, 5));
+        let server = keys
+            .iter()
+            .position(|key| *key == choice.server)
+            .expect("known");
+        world.hosts[number].send(choice.server, choice.load);
+        figures.requests += 1;
+        let slot = slots[server].iter_mut().min().expect("six slots");
+        let begins = (*slot).max(tick);
+        let wait = begins - tick;
+        let (ends_at, took) = if wait as f64 > 24.0 / 6.0 * 30.0 * slowness[server] {
+            figures.refused += 1;
+            (tick + 1, Duration::ZERO)
+        } else {
+            *slot = begins + (random.random_range(20.0..40.0) * slowness[server]) as u64;
+            (*slot, ms(*slot - tick + 5))
+        };
+        figures.late += usize::from(ends_at - tick > 150);
+        ends.entry(ends_at)
+            .or_default()
+            .push((number, server, took, choice.expected));
+    }
+    figures
+}
+
+/// Guards against plain servers that refuse and delay requests in turns, because reports are older than a request lasts.
+#[test]
+fn plain_requests_do_not_follow_old_reports() {
+    for slowness in [[1.0, 1.0, 1.0], [1.0, 1.2, 2.0]] {
+        let failed = |chooser| {
+            let figures = simulate_plain(74, slowness, 0.95, chooser);
+            figures.refused + figures.late
+        };
+        let (reports, even) = (failed(Chooser::Reports), failed(Chooser::Even));
+        assert!(
+            even * 10 <= reports,
+            "{even} with the estimate, {reports} without"
+        );
+    }
+}
+
+#[test]
+#[ignore = "prints the figures of the design note"]
+fn plain_comparison() {
+    for hosts in [6, 74] {
+        for slowness in [[1.0, 1.0, 1.0], [1.0, 1.2, 2.0]] {
+            for share in [0.5, 0.8, 0.95] {
+                for chooser in [Chooser::Perfect, Chooser::Reports, Chooser::Even] {
+                    let figures = simulate_plain(hosts, slowness, share, chooser);
+                    println!("{hosts} hosts, {slowness:?}, load {share}, {chooser:?}: {figures:?}");
+                }
+            }
+        }
+    }
+}
+
 #[test]
 #[ignore = "prints the figures of the design note"]
 fn comparison() {
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -142,6 +142,28 @@
         self.place_avoiding(now, host, holdings, call, prompt, &[])
     }
 
+    /// Places a request of the plain service `desk` by the state of a host.
+    pub fn place_plain(&self, now: Moment, host: &Host, call: u64) -> Choice {
+        let view = View {
+            directory: &host.directory,
+            peers: &host.peers,
+            versions: &self.versions,
+            holdings: &host.holdings,
+            stores: &[] as &[Store],
+            reach: &self.reach,
+            data_centre: &self.home,
+            estimate: host.estimate.as_ref(),
+        };
+        let query = Query {
+            call,
+            service: &"desk".into(),
+            engine: None,
+            prompt: None,
+            avoid: &[],
+        };
+        view.choose(now, &query).expect("a server")
+    }
+
     /// Does the same without some servers.
     pub fn place_avoiding(
         &self,
