gateway: metrics of the servers' load

Cause: an operator cannot see how evenly a service's servers are loaded, nor how much of the load is unreported.

Change: gauge `jaystand_server_load{service,measure}` with the mean, the busiest server and the expected requests that no report includes yet; set only with `even_load`.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -51,8 +51,12 @@
     prefill_s: f64,
     /// Integral over time of this host's requests in flight.
     active_s: f64,
+    /// This host's requests in flight at all servers.
+    own: f64,
     /// Requests of all other hosts at all servers, by the latest reports.
     others: f64,
+    /// Requests of all hosts at the busiest server, by the latest reports.
+    busiest: f64,
     servers: f64,
     /// How long first events and answers took at all servers, against the expectation before any learning.
     times: Times,
@@ -125,6 +129,17 @@
     }
 }
 
+/// How the load of a service is spread over its servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Summary {
+    /// Requests in flight at a server by own sends and reports, on average.
+    pub mean: f64,
+    /// The same at the busiest server.
+    pub busiest: f64,
+    /// Requests that other hosts are expected to have sent to a server since their reports, on average.
+    pub unreported: f64,
+}
+
 /// What is expected of a service's servers at the time of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Outlook {
@@ -162,6 +177,8 @@
             traffic.active_s *= kept;
             traffic.times.scale(kept);
             traffic.others = 0.0;
+            traffic.own = 0.0;
+            traffic.busiest = 0.0;
             traffic.servers = 0.0;
         }
         for sample in samples {
@@ -170,12 +187,27 @@
                 None => self.services.entry(sample.service.clone()).or_default(),
             };
             traffic.active_s += f64::from(sample.own) * elapsed;
+            traffic.own += f64::from(sample.own);
             traffic.others += f64::from(sample.others);
+            let load = f64::from(sample.own) + f64::from(sample.others);
+            traffic.busiest = traffic.busiest.max(load);
             traffic.servers += 1.0;
         }
         self.services.retain(|_, traffic| traffic.servers > 0.0);
     }
 
+    /// Returns how the load of each service is spread, with reports that are this old on average.
+    pub fn summaries(&self, age: Duration) -> impl Iterator<Item = (&ServiceName, Summary)> {
+        self.services.iter().map(move |(service, traffic)| {
+            let summary = Summary {
+                mean: (traffic.own + traffic.others) / traffic.servers.max(1.0),
+                busiest: traffic.busiest,
+                unreported: self.outlook(service, age).arrivals,
+            };
+            (service, summary)
+        })
+    }
+
     /// Returns how many times longer first events and answers of a service take than expected before any learning.
     #[must_use]
     pub fn slowness(&self, service: &ServiceName) -> f64 {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -279,6 +279,34 @@
         self.timer.now()
     }
 
+    /// Updates the estimate of the servers' load, and its metrics.
+    pub(crate) fn observe_load(&self, now: Moment) {
+        let state = &mut *self.state.borrow_mut();
+        let Some(estimate) = &mut state.estimate else {
+            return;
+        };
+        let peers = &state.peers;
+        let samples = state.directory.iter().map(|server| Sample {
+            service: &server.entry.service,
+            own: server.load.active,
+            others: peers.total(server.key).active,
+        });
+        estimate.observe(now, samples);
+        for (service, summary) in estimate.summaries(peers.mean_age(now)) {
+            let measures = [
+                ("mean", summary.mean),
+                ("busiest", summary.busiest),
+                ("unreported", summary.unreported),
+            ];
+            for (measure, value) in measures {
+                let gauge = &self.metrics.server_load;
+                gauge
+                    .with_label_values(&[service.as_str(), measure])
+                    .set(value);
+            }
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
@@ -686,14 +714,6 @@
         self.directory.observe_prompts(now, |server| {
             Duration::from_micros(server.load.prefill_us + peers.total(server.key).prefill_us)
         });
-        if let Some(estimate) = &mut self.estimate {
-            let samples = self.directory.iter().map(|server| Sample {
-                service: &server.entry.service,
-                own: server.load.active,
-                others: peers.total(server.key).active,
-            });
-            estimate.observe(now, samples);
-        }
     }
 
     pub(crate) fn feed(&mut self, kind: Kind) -> &mut Feed {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use jaystand_dispatch::limit::Call;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets in seconds. They surround the objectives of the users' sheets.
@@ -46,6 +46,8 @@
     pub(crate) servers: IntGauge,
     /// Hosts that report.
     pub(crate) peers: IntGauge,
+    /// Requests in flight at servers, by service and measure.
+    pub(crate) server_load: GaugeVec,
 }
 
 impl Metrics {
@@ -61,6 +63,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let options = Opts::new(
+            "jaystand_server_load",
+            "Requests in flight at a service's servers, with `even_load`.",
+        );
+        let server_load = GaugeVec::new(options, &["service", "measure"])?;
+        registry.register(Box::new(server_load.clone()))?;
         let options = HistogramOpts::new(
             "jaystand_first_byte_seconds",
             "Time from a request's head to its answer or first event.",
@@ -132,6 +140,7 @@
             config_version: gauge("jaystand_config_version", "Configuration in force.")?,
             servers: gauge("jaystand_servers", "Known backend servers.")?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
+            server_load,
             latency,
             dropped_lines,
             panics,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -237,6 +237,7 @@
         }
         let now = hub.now();
         hub.state.borrow_mut().observe_prompts(now);
+        hub.observe_load(now);
         let mut others = live_hosts(&hub, now);
         share_limits(&hub, now);
         hub.state.borrow_mut().suspicions.expire(now);
