--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     ServerKey, ServiceName, capacity,
+    estimate::Speed,
     health::Health,
     limit::{Call, Fleet, Rate, Statement},
     load::Load,
@@ -72,6 +73,8 @@
     pub capacity: capacity::Limit,
     /// Share of recent time that it spent on the prefill of all hosts' prompts.
     pub pressure: Pressure,
+    /// Its speed, by the experience of all hosts.
+    pub speed: Speed,
     missing_since: Option<Moment>,
     updating_until: Option<Moment>,
     /// Whether another server listens at its address.
@@ -163,6 +166,7 @@
             load: Load::default(),
             capacity: capacity::Limit::default(),
             pressure: Pressure::default(),
+            speed: Speed::default(),
             missing_since: None,
             updating_until: None,
             replaced: false,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod config;
 pub mod directory;
+pub mod estimate;
 pub mod health;
 pub mod holdings;
 pub mod lease;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,6 +18,7 @@
     budget::{Budget, Sharers},
     config::Configuration,
     directory::{Change, Directory, Server},
+    estimate::{Estimate, Sample},
     holdings::Holdings,
     lease::{Fence, Record},
     limit::{Call, Origin, Rate},
@@ -126,6 +127,8 @@
     /// Reachable stores of cached prompt parts.
     pub(crate) part_stores: Vec<PartStore>,
     pub(crate) peers: Peers<IpAddr>,
+    /// The requests that other hosts have sent since their reports; `None` if placement takes reports as they are.
+    pub(crate) estimate: Option<Estimate>,
     pub(crate) hosts: HashMap<IpAddr, Host>,
     pub(crate) config_feed: Feed,
     pub(crate) servers_feed: Feed,
@@ -252,6 +255,7 @@
             suspicions: Suspicions::default(),
             part_stores: Vec::new(),
             peers: Peers::default(),
+            estimate: settings.even_load.then(Estimate::default),
             hosts: HashMap::new(),
             config_feed: Feed::default(),
             servers_feed: Feed::default(),
@@ -294,6 +298,34 @@
         self.timer.now()
     }
 
+    /// Updates the estimate of the servers' load, and its metrics.
+    pub(crate) fn observe_load(&self, now: Moment) {
+        let state = &mut *self.state.borrow_mut();
+        let Some(estimate) = &mut state.estimate else {
+            return;
+        };
+        let peers = &state.peers;
+        let samples = state.directory.iter().map(|server| Sample {
+            service: &server.entry.service,
+            own: server.load.active,
+            others: peers.total(server.key).active,
+        });
+        estimate.observe(now, samples);
+        for (service, summary) in estimate.summaries(peers.mean_age(now)) {
+            let measures = [
+                ("mean", summary.mean),
+                ("busiest", summary.busiest),
+                ("unreported", summary.unreported),
+            ];
+            for (measure, value) in measures {
+                let gauge = &self.metrics.server_load;
+                gauge
+                    .with_label_values(&[service.as_str(), measure])
+                    .set(value);
+            }
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use jaystand_dispatch::limit::Call;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::quota;
@@ -56,6 +56,8 @@
     pub(crate) servers: IntGauge,
     /// Hosts that report.
     pub(crate) peers: IntGauge,
+    /// Requests in flight at servers, by service and measure.
+    pub(crate) server_load: GaugeVec,
 }
 
 impl Metrics {
@@ -71,6 +73,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let options = Opts::new(
+            "jaystand_server_load",
+            "Requests in flight at a service's servers, with `even_load`.",
+        );
+        let server_load = GaugeVec::new(options, &["service", "measure"])?;
+        registry.register(Box::new(server_load.clone()))?;
         let options = HistogramOpts::new(
             "jaystand_first_byte_seconds",
             "Time from a request's head to its answer or first event.",
@@ -149,6 +157,7 @@
             servers: gauge("jaystand_servers", "Known backend servers.")?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
             waiting: waiting::Metrics::new(&registry)?,
+            server_load,
             latency,
             dropped_lines,
             diverged_copies,
