--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -298,6 +298,12 @@
         self.per_second
     }
 
+    /// Returns the units that a team that was idle may use at once.
+    #[must_use]
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// Returns what the limit counts.
     #[must_use]
     pub fn unit(&self) -> Unit {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -361,7 +361,8 @@
         self.metrics
             .config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
-        quota::set_limits(self, &mut state.quotas, &config);
+        let former = state.config.clone();
+        quota::set_limits(self, &mut state.quotas, former.as_deref(), &config);
         state.config = Some(Arc::new(config));
         state.config_text = Some(Rc::from(text.to_owned()));
         state.entries.record_config_change();
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -2,14 +2,14 @@
 
 use std::net::IpAddr;
 
+use hashbrown::HashMap;
 use http::HeaderMap;
 use jaystand_adapter::request;
 use jaystand_dispatch::{
     config::{Configuration, Team},
-    quota::{self, Charge, Entry, Refusal, Sender},
+    quota::{self, Charge, Entry, Limit, Refusal, Sender},
 };
-
-use jaystand_types::Incarnation;
+use jaystand_types::{Incarnation, TeamId};
 use prometheus::{GaugeVec, IntCounterVec, Opts, Registry};
 use prost::Message;
 
@@ -145,9 +145,24 @@
     Book::new(clock::since_boot(), expects_hosts)
 }
 
-/// Puts the limits of a configuration in force.
-pub(crate) fn set_limits(hub: &Hub, book: &mut Book, config: &Configuration) {
+/// Puts the limits of a configuration in force, and logs those that differ from the former configuration.
+pub(crate) fn set_limits(
+    hub: &Hub,
+    book: &mut Book,
+    former: Option<&Configuration>,
+    config: &Configuration,
+) {
     book.set_limits(clock::since_boot(), config.team_limits());
+    let former: HashMap<TeamId, Limit> = former
+        .into_iter()
+        .flat_map(Configuration::team_limits)
+        .collect();
+    for (team, limit) in config.team_limits() {
+        if former.get(&team) != Some(&limit) {
+            log::info!(team = team.as_str(), per_s = limit.per_second(), burst = limit.burst();
+                "rate limit of a team in force");
+        }
+    }
     hub.metrics.quota.level.reset();
     hub.metrics.quota.share.reset();
 }
