estimate: share measured speeds in whole reports

Cause: a host of a large fleet sends a request to a given server every few seconds, so that it learns the server's speed too slowly.

Change: whole reports of hosts with even_load carry the sums of measured and expected times of up to 32 random servers (tag 25, at most 480 bytes). They count with a weight of 0.05 and a half-life of 30 s; with their whole weight all hosts took a moment's load for a speed.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -28,6 +28,16 @@
 const MIN_RESIDENCE_S: f64 = 1e-3;
 /// Time after which measured times count half. Some servers slow down for seconds when they are nearly full.
 const SPEED_HALF_LIFE_S: f64 = 8.0;
+/// The same for times that other hosts report. They are many, and show the load of a moment as well as the speed: with
+/// 8 s and their whole weight, all hosts avoided the same servers in turns.
+const SHARED_HALF_LIFE_S: f64 = 30.0;
+/// Weight of a reported time. A host gets 25 to 40 whole reports a second, and each repeats the times of some seconds.
+const SHARED_WEIGHT: f64 = 0.05;
+/// Times are reported if at least this much was expected: about two requests.
+const MIN_REPORTED: Duration = Duration::from_millis(100);
+/// Upper bound on the weight of one report, so that a wrong one does not outweigh all others. It is reached by a host that
+/// sends ten requests of 100 ms a second to one server.
+const MAX_MERGED: Duration = Duration::from_secs(10);
 /// Weight, in seconds of measured time, of the presumption that a server has the mean speed.
 const PRESUMED_S: f64 = 0.5;
 /// Bounds on a measured time as a multiple of the expected one, so that an outlier does not hide a server.
@@ -62,12 +72,17 @@
     times: Times,
 }
 
-/// The speed of one server: how long the first events and answers of this host's requests took.
+/// The speed of one server: how long first events and answers took.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Speed {
-    times: Times,
+    /// Of this host's requests.
+    own: Times,
+    /// Of other hosts' requests, by their reports.
+    shared: Times,
     /// Time of the last observation.
     observed: Moment,
+    /// Time of the last report.
+    merged: Moment,
 }
 
 /// Decaying sums of measured and expected times. Their ratio weighs long requests more than short ones, whose times
@@ -89,6 +104,11 @@
         self.expected_s *= factor;
     }
 
+    fn decayed(mut self, age: Duration, half_life_s: f64) -> Self {
+        self.scale(0.5_f64.powf(age.as_secs_f64() / half_life_s));
+        self
+    }
+
     /// Returns the measured time over the expected one, drawn to 1 as long as little was measured.
     fn ratio(self) -> f64 {
         (self.took_s + PRESUMED_S) / (self.expected_s + PRESUMED_S)
@@ -99,21 +119,52 @@
     /// Returns how many times longer the server takes than a server of mean speed.
     #[must_use]
     pub fn slowness(&self, now: Moment) -> f64 {
-        self.at(now).ratio()
+        let mut times = self.own(now);
+        times.add(self.shared(now));
+        times.ratio()
+    }
+
+    /// Returns the measured and the expected time of this host's requests, for the report to other hosts. Returns `None`
+    /// if there is too little to report.
+    #[must_use]
+    pub fn to_report(&self, now: Moment) -> Option<(Duration, Duration)> {
+        let own = self.own(now);
+        let took = Duration::try_from_secs_f64(own.took_s).ok()?;
+        let expected = Duration::try_from_secs_f64(own.expected_s).ok()?;
+        (expected >= MIN_REPORTED).then_some((took, expected))
+    }
+
+    /// Records the measured and the expected time of another host's requests.
+    pub fn merge(&mut self, now: Moment, took: Duration, expected: Duration) {
+        if expected.is_zero() {
+            return;
+        }
+        let ratio = took.as_secs_f64() / expected.as_secs_f64();
+        let expected_s = expected.min(MAX_MERGED).as_secs_f64();
+        let took_s = expected_s * ratio.clamp(TIME_BOUNDS.0, TIME_BOUNDS.1);
+        let mut times = Times { took_s, expected_s };
+        times.scale(SHARED_WEIGHT);
+        self.shared = self.shared(now);
+        self.shared.add(times);
+        self.merged = now;
     }
 
     fn observe(&mut self, now: Moment, times: Times) {
-        self.times = self.at(now);
-        self.times.add(times);
+        self.own = self.own(now);
+        self.own.add(times);
         self.observed = now;
     }
 
-    /// Returns the times with their weight at a later time.
-    fn at(&self, now: Moment) -> Times {
-        let age = now.saturating_sub(self.observed).as_secs_f64();
-        let mut times = self.times;
-        times.scale(0.5_f64.powf(age / SPEED_HALF_LIFE_S));
-        times
+    /// Returns the times of this host's requests with their present weight.
+    fn own(&self, now: Moment) -> Times {
+        self.own
+            .decayed(now.saturating_sub(self.observed), SPEED_HALF_LIFE_S)
+    }
+
+    /// Returns the times of other hosts' requests with their present weight.
+    fn shared(&self, now: Moment) -> Times {
+        self.shared
+            .decayed(now.saturating_sub(self.merged), SHARED_HALF_LIFE_S)
     }
 }
 
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -16,8 +16,16 @@
 };
 use jaystand_types::{DataCentre, Moment};
 
+use rand::{Rng, seq::IteratorRandom as _};
+
 use super::{engine, ms};
 
+/// Servers whose times a report names, as in the gateway.
+const MAX_SPEEDS: usize = 32;
+
+/// Measured and expected time of a host's requests at a server.
+type Times = (Duration, Duration);
+
 /// The state of one host.
 #[derive(Clone, Default)]
 pub struct Host {
@@ -64,6 +72,24 @@
         server.health.observe_slowdown(ratio);
     }
 
+    /// Returns the times of a report, which names some random servers.
+    pub fn speeds(&self, now: Moment, random: &mut impl Rng) -> Vec<(ServerKey, Times)> {
+        let servers = self.directory.iter();
+        let times = servers.filter_map(|s| Some((s.key, s.speed.to_report(now)?)));
+        // The directory iterates in an order of its own in each run.
+        let mut times: Vec<_> = times.collect();
+        times.sort_unstable();
+        times.into_iter().sample(random, MAX_SPEEDS)
+    }
+
+    /// Applies the times of another host's report.
+    pub fn merge(&mut self, now: Moment, speeds: &[(ServerKey, Times)]) {
+        for (key, (took, expected)) in speeds {
+            let server = self.directory.get_mut(*key).expect("known");
+            server.speed.merge(now, *took, *expected);
+        }
+    }
+
     /// Does what is due at each report.
     pub fn tick(&mut self, now: Moment, hosts: usize) {
         self.peers.expire(now, hosts);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -21,7 +21,7 @@
 };
 use jaystand_types::{DataCentre, Model, Moment};
 use prost::Message;
-use rand::seq::{IndexedRandom as _, SliceRandom as _};
+use rand::seq::{IndexedRandom as _, IteratorRandom as _, SliceRandom as _};
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
@@ -59,6 +59,9 @@
 const MAX_DEPARTURES: usize = 64;
 /// Largest number of limits that a report names.
 const MAX_LIMITS: usize = 64;
+/// Largest number of servers whose speeds a report names. Each report names a new random choice. At 15 bytes each and 40
+/// whole reports a second they take 20 KB/s.
+const MAX_SPEEDS: usize = 32;
 /// Largest report that can be received.
 const MAX_REPORT_BYTES: usize = 8_192;
 /// Token counts are sent in units of this many tokens.
@@ -118,6 +121,9 @@
     /// The latest era of the store that the sender knows.
     #[prost(uint64, tag = "22")]
     era: u64,
+    /// How long first events and answers of servers took, in whole reports of hosts with `even_load`.
+    #[prost(message, repeated, tag = "25")]
+    speeds: Vec<SpeedEntry>,
 }
 
 /// Hosts of a data centre that have reported to the sender.
@@ -215,6 +221,18 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct SpeedEntry {
+    #[prost(uint64, tag = "1")]
+    server: u64,
+    /// Sum of the measured times.
+    #[prost(uint32, tag = "2")]
+    took_ms: u32,
+    /// Sum of the times that were expected of a server of mean speed.
+    #[prost(uint32, tag = "3")]
+    expected_ms: u32,
+}
+
 /// Sends reports to other hosts for as long as the process runs.
 ///
 /// In each period a few random hosts get a whole report, and others, up to a limit, a brief one. What must be known at
@@ -326,6 +344,37 @@
     }
 }
 
+/// Returns the speeds of some random servers, by this host's requests.
+fn compose_speeds(state: &State, now: Moment) -> Vec<SpeedEntry> {
+    if state.estimate.is_none() {
+        return Vec::new();
+    }
+    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let speeds = state.directory.iter().filter_map(|server| {
+        let (took, expected) = server.speed.to_report(now)?;
+        Some(SpeedEntry {
+            server: server.key,
+            took_ms: millis(took),
+            expected_ms: millis(expected),
+        })
+    });
+    speeds.sample(&mut rand::rng(), MAX_SPEEDS)
+}
+
+/// Applies the speeds that another host has measured.
+fn apply_speeds(state: &mut State, now: Moment, speeds: &[SpeedEntry]) {
+    if state.estimate.is_none() {
+        return;
+    }
+    for entry in speeds.iter().take(MAX_SPEEDS) {
+        if let Some(server) = state.directory.get_mut(entry.server) {
+            let took = Duration::from_millis(entry.took_ms.into());
+            let expected = Duration::from_millis(entry.expected_ms.into());
+            server.speed.merge(now, took, expected);
+        }
+    }
+}
+
 /// Returns the limits of servers, and the ends of limits that may not be known to all hosts yet.
 fn compose_limits(state: &State, now: Moment) -> Vec<LimitEntry> {
     let limits = state.directory.limits(now);
@@ -457,6 +506,7 @@
             .collect(),
         limits: compose_limits(state, now),
         suspicions: compose_suspicions(state, now),
+        speeds: compose_speeds(state, now),
         updates: state
             .updates
             .iter()
@@ -635,6 +685,7 @@
             log_limit_change(&state.directory, entry.server, change, "peer");
         }
         apply_suspicions(&mut state, now, &report.suspicions);
+        apply_speeds(&mut state, now, &report.speeds);
         for update in &report.updates {
             let Some(server) = state.directory.get_mut(update.server) else {
                 continue;
