--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -40,6 +40,11 @@
     /// Writes a settings file with these lines in its section `[bounds]`. Each number has an address of its own, so
     /// that fixed ports do not collide.
     pub fn new(number: u8, bounds: &str) -> Self {
+        Self::with_limits(number, bounds, "")
+    }
+
+    /// Writes a settings file with these lines in its sections `[bounds]` and `[limits]`.
+    pub fn with_limits(number: u8, bounds: &str, limits: &str) -> Self {
         let process_id = std::process::id().to_le_bytes();
         let address = Ipv4Addr::new(127, 32 + process_id[1] % 32, process_id[0], number);
         let settings = std::env::temp_dir().join(format!(
@@ -49,7 +54,8 @@
         let text = format!(
             "host = \"host-{number}\"\ndata_centre = \"a\"\npeer_port = 8702\nseeds = []\n\
              [listen]\nfront = \"{address}:8700\"\nready = \"{address}:8701\"\n\
-             [store]\naddress = \"{address}:9200\"\n[bounds]\n{bounds}\n"
+             metrics = \"{address}:9464\"\n\
+             [store]\naddress = \"{address}:9200\"\n[bounds]\n{bounds}\n[limits]\n{limits}\n"
         );
         std::fs::write(&settings, text).expect("a settings file");
         Self { address, settings }
@@ -60,6 +66,21 @@
         (self.address, 8_700).into()
     }
 
+    /// Returns the address of the readiness check.
+    pub fn ready(&self) -> SocketAddr {
+        (self.address, 8_701).into()
+    }
+
+    /// Returns the address at which other hosts ask for copies.
+    pub fn copies(&self) -> SocketAddr {
+        (self.address, 8_702).into()
+    }
+
+    /// Returns the address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        (self.address, 9_464).into()
+    }
+
     /// Returns the address at which the process expects the store.
     pub fn store(&self) -> SocketAddr {
         (self.address, 9_200).into()
@@ -82,11 +103,17 @@
 
     /// Starts the program with a limit on its file descriptors.
     pub fn start_with_descriptors(&self, max_descriptors: u32) -> Process {
+        self.start_limited(max_descriptors, Stdio::piped)
+    }
+
+    /// Starts the program with a limit on its file descriptors, without reading its output.
+    pub fn start_limited_without_output(&self, max_descriptors: u32) -> Process {
+        self.start_limited(max_descriptors, Stdio::null)
+    }
+
+    fn start_limited(&self, max_descriptors: u32, output: fn() -> Stdio) -> Process {
         let limited = format!("ulimit -n {max_descriptors} && exec \"$0\" --settings \"$1\"");
-        self.run(
-            Command::new("sh").args(["-c", &limited, PROGRAM]),
-            Stdio::piped,
-        )
+        self.run(Command::new("sh").args(["-c", &limited, PROGRAM]), output)
     }
 
     fn run(&self, command: &mut Command, output: fn() -> Stdio) -> Process {
@@ -122,6 +149,11 @@
         kill_process(Pid::from_raw(id).expect("not 0"), signal).expect("signalled");
     }
 
+    /// Returns the id of the process.
+    pub fn id(&mut self) -> u32 {
+        self.child().id()
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child().try_wait().expect("a child").is_some()
