Account connections, bodies and unread streams, and shed what makes no progress

Cause: a listener took connections until the descriptors ran out; inner listeners buffered heads of 400 kB and answers to pipelined requests; bodies that stalled held the common memory until their deadline, growth by doubling was not counted, and a stream kept up to 16 chunks of any size for a caller that did not read. Each idle connection held the memory of a whole request.

Change: each listener has an account of its connections. At its limit, a new connection replaces an idle one, or else the one without progress for longest, never one whose request may be at a server (the readiness, metrics and copy listeners may replace any). Bodies count the memory that they take, a quarter of it is kept for bodies up to 32 KB, and a body that finds none sheds stalled ones (503; 408 without progress for 10 s). Heads time out by headerTimeoutMs from their first byte. One answer at a time waits for a full socket. A stream holds 16 KB for its caller, and an answer that stays unread for 3 s closes the connection.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -25,8 +25,10 @@
 use tokio::time::timeout;
 
 use crate::{
+    account::{Connection, Shed},
     admit::{self, Admitted, local_reply},
-    buffer, check, clock,
+    buffer::{self, Source},
+    check, clock,
     hub::{Hub, RecentPart, whole_ms},
     link,
     meter::MeteredBody,
@@ -135,7 +137,11 @@
 }
 
 /// Serves a request. Returns its final answer, or a response whose body is the stream.
-pub(crate) async fn serve(hub: Rc<Hub>, request: Request<Incoming>) -> Response<Reply> {
+pub(crate) async fn serve(
+    hub: Rc<Hub>,
+    connection: Rc<Connection>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
     let arrived = hub.now();
     let (parts, body) = request.into_parts();
     let (id, admitted) = admit::admit(&hub, arrived, &parts);
@@ -144,10 +150,12 @@
         Err(rejection) => return rejection.answer(&hub, id.as_deref()),
     };
     let mut call = Call::new(&hub, arrived, id.unwrap_or_default(), admitted, parts);
-    match call.read_body(body).await {
+    match call.read_body(body, &connection).await {
         Ok(body) => call.set_body(body),
         Err(answer) => return *answer,
     }
+    connection.set_forwarded();
+    drop(connection);
     match call.route.delivery {
         Delivery::Whole => call.serve_whole().await,
         Delivery::Events => relay::serve(call).await,
@@ -217,15 +225,26 @@
     }
 
     /// Reads the request's body. Fails with the answer to the caller if that is not possible.
-    async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
+    async fn read_body(
+        &mut self,
+        body: Incoming,
+        connection: &Connection,
+    ) -> Result<Bytes, Box<Response<Reply>>> {
         let hub = Rc::clone(&self.hub);
-        let read = hub.buffers.collect(body, hub.body_limit());
+        let source = Source {
+            account: &hub.accounts.callers,
+            connection,
+        };
+        let read = hub.buffers.collect(body, hub.body_limit(), Some(source));
         let answer = match timeout(self.time_left(), read).await {
             Ok(Ok(body)) => return Ok(body),
             Ok(Err(buffer::Error::TooLong(_))) => {
                 self.reject(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
             }
-            Ok(Err(buffer::Error::Full)) => self.give_up(&Failure {
+            Ok(Err(buffer::Error::Shed(Shed::BodyStalled))) => {
+                self.reject(StatusCode::REQUEST_TIMEOUT, "body stalled")
+            }
+            Ok(Err(buffer::Error::Full | buffer::Error::Shed(_))) => self.give_up(&Failure {
                 reason: Reason::Memory,
             }),
             Ok(Err(buffer::Error::Broken(_))) => {
@@ -266,7 +285,7 @@
         } = answer;
         let server = pooled.server;
         let hub = Rc::clone(&self.hub);
-        let read = hub.buffers.collect(body, MAX_ANSWER_BYTES);
+        let read = hub.buffers.collect(body, MAX_ANSWER_BYTES, None);
         let body = match timeout(self.time_left(), read).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -86,7 +86,7 @@
         let (hub, idle) = (Rc::clone(&self.hub), head.idle_timeout);
         tokio::task::spawn_local(async move {
             // If the body is larger or slower, the connection is closed instead.
-            let read = hub.buffers.collect(body, MAX_REFUSAL_BYTES);
+            let read = hub.buffers.collect(body, MAX_REFUSAL_BYTES, None);
             if matches!(timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
                 hub.return_connection(pooled, idle).await;
             }
--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -127,7 +127,8 @@
 
 /// Answers the queries of other hosts for as long as the process runs.
 pub(crate) async fn serve(hub: Rc<Hub>, listener: Rc<TcpListener>) {
-    front::serve_text(hub, listener, async |hub: Rc<Hub>, request| {
+    let account = Rc::clone(&hub.accounts.copies);
+    front::serve_text(hub, listener, account, async |hub: Rc<Hub>, request| {
         let Some(query) = Query::parse(request.uri()) else {
             return (StatusCode::NOT_FOUND, Vec::new());
         };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -5,7 +5,10 @@
     collections::VecDeque,
     net::IpAddr,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -38,9 +41,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    account::{Accounts, Shed},
     buffer::Buffers,
     clock,
     entries::Entries,
+    front,
     metrics::Metrics,
     pack::Packed,
     pool::{Pool, Pooled},
@@ -65,6 +70,9 @@
     pub(crate) pool: Pool,
     pub(crate) store: Store,
     pub(crate) buffers: Buffers,
+    pub(crate) accounts: Accounts,
+    /// Bytes of streams that wait for their callers.
+    pub(crate) unread_bytes: Arc<AtomicUsize>,
     pub(crate) state: RefCell<State>,
     /// Wakes the task that gives weight orders.
     pub(crate) weights_changed: Notify,
@@ -247,6 +255,8 @@
         Self {
             store: Store::new(settings.store),
             buffers: Buffers::new(settings.buffer_bytes),
+            accounts: Accounts::new(settings.caller_connections),
+            unread_bytes: Arc::default(),
             relays: RefCell::new(relays),
             packed_copy: RefCell::new(None),
             source: watch::Sender::new(Source::Unknown),
@@ -644,6 +654,44 @@
         config.map_or(0, |config| config.limits().body_bytes)
     }
 
+    /// Closes the connections of clients that are too slow, and updates the metrics of connections.
+    pub(crate) fn sweep_connections(&self) {
+        let config = self.state.borrow().config.clone();
+        let (head_timeout, idle_timeout) = config.map_or(
+            (front::DEFAULT_HEAD_TIMEOUT, front::DEFAULT_IDLE_TIMEOUT),
+            |config| {
+                let limits = config.limits();
+                (limits.head_timeout, limits.idle_timeout)
+            },
+        );
+        let clients = &self.metrics.clients;
+        for (listener, account) in self.accounts.all() {
+            account.sweep(head_timeout, idle_timeout);
+            let open = i64::try_from(account.len()).unwrap_or(i64::MAX);
+            let connections = &clients.open_connections;
+            connections.with_label_values(&[listener]).set(open);
+            for reason in Shed::ALL {
+                let shed = account.take_shed(reason);
+                if shed == 0 {
+                    continue;
+                }
+                let labels = [listener, reason.as_str()];
+                clients.shed.with_label_values(&labels).inc_by(shed);
+                if reason != Shed::Idle {
+                    log::warn!(listener, reason = reason.as_str(), shed, open; "connections shed");
+                }
+            }
+        }
+        let held = [
+            ("bodies", self.buffers.used_bytes()),
+            ("streams", self.unread_bytes.load(Ordering::Relaxed)),
+        ];
+        for (kind, bytes) in held {
+            let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+            clients.held_bytes.with_label_values(&[kind]).set(bytes);
+        }
+    }
+
     /// Returns the number of hosts that share the retry budget and the connections to servers, this one included.
     pub(crate) fn share_count(&self) -> usize {
         self.state.borrow().sharers.count() + 1
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! One thread runs all tasks, because an entry host has a fraction of one core. Tasks share state through `hub::Hub`,
 //! and never borrow it across an await.
 
+mod account;
 mod admit;
 mod buffer;
 mod call;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use jaystand_dispatch::limit::Call;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets in seconds. They surround the objectives of the users' sheets.
@@ -34,6 +34,8 @@
     pub(crate) suspected_parts: IntGauge,
     /// Requests that are suspected to crash servers.
     pub(crate) suspected_requests: IntGauge,
+    /// What clients hold.
+    pub(crate) clients: Clients,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
     /// Panics of the process's tasks, which started again.
@@ -48,6 +50,45 @@
     pub(crate) peers: IntGauge,
 }
 
+/// Metrics of what clients hold.
+pub(crate) struct Clients {
+    /// Connections by listener.
+    pub(crate) open_connections: IntGaugeVec,
+    /// Bytes of whole bodies, and of streams that wait for their callers.
+    pub(crate) held_bytes: IntGaugeVec,
+    /// Connections that were shed, by listener and reason.
+    pub(crate) shed: IntCounterVec,
+}
+
+impl Clients {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        let shed = Opts::new(
+            "jaystand_shed_total",
+            "Connections closed and bodies refused for what they held or how slow they were.",
+        );
+        let shed = IntCounterVec::new(shed, &["listener", "reason"])?;
+        registry.register(Box::new(shed.clone()))?;
+        Ok(Self {
+            open_connections: gauges(
+                "jaystand_open_connections",
+                "Open connections by listener.",
+                "listener",
+            )?,
+            held_bytes: gauges(
+                "jaystand_held_bytes",
+                "Bytes held for callers: whole bodies, and streams that wait for slow readers.",
+                "kind",
+            )?,
+            shed,
+        })
+    }
+}
+
 impl Metrics {
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
@@ -113,6 +154,7 @@
                 "Retries that the retry budget allowed or refused.",
                 &["service", "result"],
             )?,
+            clients: Clients::new(&registry)?,
             budget_hosts: gauge(
                 "jaystand_retry_budget_hosts",
                 "Hosts that share the slack of the retry budget, this one included.",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,21 +8,16 @@
 use http_body_util::BodyExt;
 use jaystand_dispatch::health::Outcome;
 use jaystand_types::Moment;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     call::{Answer, Call, build_response},
     events::{EVENT_END, Splitter},
     meter::MeteredBody,
-    reply::{Reply, Truncated},
+    reply::{self, Reply, Sender},
     suspect::hash_name,
 };
 
-/// Capacity of the channel to the caller, in chunks. While a slow caller keeps it full, the server is not read.
-const CHANNEL_CHUNKS: usize = 16;
 /// Time after the deadline at which a stream is aborted. The server stops by itself at the deadline, but its last
 /// events are still on their way then.
 const ABORT_DELAY: Duration = Duration::from_millis(250);
@@ -98,7 +93,7 @@
 
 /// Starts the task that passes the stream on, and returns the response whose body it feeds.
 fn start_stream(call: Call, answer: Answer, first: Bytes) -> Response<Reply> {
-    let (sender, receiver) = mpsc::channel(CHANNEL_CHUNKS);
+    let (sender, receiver) = reply::stream(&call.hub.unread_bytes);
     let status = answer.head.status;
     let mut headers = answer.headers.clone();
     // A resumed stream may differ in length from what the first server announced.
@@ -174,9 +169,6 @@
     }
 }
 
-/// The sending half of the channel to the body of the caller's response.
-type Sender = mpsc::Sender<Result<Bytes, Truncated>>;
-
 /// The segment of a stream that one server sends, and the state of passing it on.
 struct Segment {
     /// The stream is aborted at this time.
@@ -269,8 +261,8 @@
                     if event.is_progress() {
                         last_progress = Instant::now();
                     }
-                    if caller.send(Ok(event.bytes)).await.is_err() {
-                        return End::CallerGone;
+                    if let Err(end) = self.pass(caller, event.bytes).await {
+                        return end;
                     }
                 }
                 if self.splitter.pending() > MAX_EVENT_BYTES {
@@ -284,13 +276,22 @@
                     [last] => [self.tail[1], last],
                     [] => self.tail,
                 };
-                if caller.send(Ok(bytes)).await.is_err() {
-                    return End::CallerGone;
+                if let Err(end) = self.pass(caller, bytes).await {
+                    return end;
                 }
             }
         }
     }
 
+    /// Passes bytes to the caller. A caller that reads slowly holds the server back, but not beyond the deadline.
+    async fn pass(&self, caller: &Sender, bytes: Bytes) -> Result<(), End> {
+        match timeout_at(self.abort_at, caller.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(End::CallerGone),
+            Err(_) => Err(End::Overdue),
+        }
+    }
+
     /// Reads ahead until the server makes progress or ends its answer. Returns false if the connection broke or
     /// more than `MAX_EVENT_BYTES` came without progress.
     async fn read_until_progress(&mut self, body: &mut MeteredBody) -> bool {
@@ -427,11 +428,11 @@
 
 /// Ends the caller's stream with an error, so that it does not look complete.
 fn abort(caller: &Sender) {
-    if caller.try_send(Err(Truncated)).is_err() {
+    if !caller.try_abort() {
         // The channel may be full. A task waits for room, because the error must reach the caller.
         let caller = caller.clone();
         tokio::task::spawn_local(async move {
-            if caller.send(Err(Truncated)).await.is_err() {
+            if caller.abort().await.is_err() {
                 log::debug!(
                     "the caller closed its connection before it got the error of its broken stream"
                 );
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -260,6 +260,7 @@
         for name in gone {
             log::info!(server = name.as_str(); "the server's missing entry did not return; the server counts as gone");
         }
+        hub.sweep_connections();
         probe_data_centres(&hub, now);
         accepted_keys = log_key_acceptance(&hub, accepted_keys);
         let dropped = logs::take_dropped();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use jaystand_dispatch::{budget, weights};
 use jaystand_types::{DataCentre, HostName};
 use log::LevelFilter;
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 
 /// Log lines that the process may write per second. A line costs about 10 microseconds of processor time.
@@ -21,6 +22,22 @@
 /// Buffered bodies may take a host's memory divided by this. The process itself takes 5 to 13 MB, and connections take
 /// as much again as the bodies on them.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
+/// Callers' connections may take a host's memory divided by this, at `CONNECTION_BYTES` each.
+const CONNECTION_MEMORY_DIVISOR: usize = 3;
+/// Memory of a caller's connection without bodies: the HTTP library's read and write buffers of 8 KB each, and the
+/// tasks and timers.
+const CONNECTION_BYTES: usize = 20 << 10;
+/// Descriptors that are reserved for files; sockets share the others.
+const FILE_DESCRIPTORS: usize = 200;
+/// Descriptors for listeners, the store, other hosts and the connections to the readiness, metrics and copy listeners.
+const INNER_DESCRIPTORS: usize = 160;
+/// Percentage of the remaining descriptors that callers' connections may take. A forwarded request takes another one
+/// for its server, and connections to servers outlive the requests that opened them.
+const CALLER_DESCRIPTORS_PERCENT: usize = 45;
+/// Connections that callers may open in any case.
+const MIN_CALLER_CONNECTIONS: usize = 64;
+/// Limit on descriptors where the system sets none.
+const MAX_DESCRIPTORS: u64 = 1 << 20;
 /// Requests must begin on the new weights this long before the bound, because hosts may learn late of a new version.
 /// The wait in the server is added to this.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
@@ -126,6 +143,8 @@
 #[serde(deny_unknown_fields)]
 struct LimitsDocument {
     memory_mb: Option<u32>,
+    descriptors: Option<u32>,
+    connections: Option<u32>,
     link_mbps: Option<f64>,
 }
 
@@ -161,6 +180,8 @@
     pub(crate) link_mbps: u32,
     /// Memory for bodies that are read as a whole, in bytes.
     pub(crate) buffer_bytes: usize,
+    /// Callers' connections that may be open at once.
+    pub(crate) caller_connections: usize,
     pub(crate) log_level: LevelFilter,
     pub(crate) log_lines: u32,
 }
@@ -221,6 +242,22 @@
                 wanted: "above 0",
             });
         }
+        for (field, value) in [
+            ("limits.descriptors", document.limits.descriptors),
+            ("limits.connections", document.limits.connections),
+        ] {
+            if value == Some(0) {
+                return Err(Error::Range {
+                    path: path.to_owned(),
+                    field,
+                    value: "0".to_owned(),
+                    wanted: "above 0",
+                });
+            }
+        }
+        let memory_bytes = usize::try_from(memory_mb)
+            .unwrap_or(usize::MAX)
+            .saturating_mul(1 << 20);
         let weights_bound = positive_duration("bounds.weights_ms", bounds.weights_ms, 1e-3)?;
         Ok(Self {
             grace: positive_duration("bounds.grace_s", bounds.grace_s, 1.0)?,
@@ -246,10 +283,8 @@
             listen: document.listen,
             store: document.store.address,
             link_mbps: link_mbps(document.limits.link_mbps.unwrap_or(DEFAULT_LINK_MBPS)),
-            buffer_bytes: usize::try_from(memory_mb)
-                .unwrap_or(usize::MAX)
-                .saturating_mul(1 << 20)
-                / BUFFER_MEMORY_DIVISOR,
+            buffer_bytes: memory_bytes / BUFFER_MEMORY_DIVISOR,
+            caller_connections: caller_connections(&document.limits, memory_bytes),
             log_level: document.log.level.unwrap_or(LevelFilter::Info),
             log_lines: document.log.lines_per_s.unwrap_or(DEFAULT_LOG_LINES_PER_S),
         })
@@ -261,6 +296,24 @@
     }
 }
 
+/// Returns how many connections callers may open, so that neither the memory nor the descriptors are used up.
+fn caller_connections(limits: &LimitsDocument, memory_bytes: usize) -> usize {
+    let to_usize = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
+    if let Some(connections) = limits.connections {
+        return to_usize(connections);
+    }
+    let allowed = || {
+        let allowed = getrlimit(Resource::Nofile).current;
+        let allowed = allowed.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS);
+        usize::try_from(allowed).unwrap_or(usize::MAX)
+    };
+    let descriptors = limits.descriptors.map_or_else(allowed, to_usize);
+    let free = descriptors.saturating_sub(FILE_DESCRIPTORS + INNER_DESCRIPTORS);
+    let by_descriptors = free * CALLER_DESCRIPTORS_PERCENT / 100;
+    let by_memory = memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+    by_descriptors.min(by_memory).max(MIN_CALLER_CONNECTIONS)
+}
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -24,6 +24,12 @@
     Ok(stream)
 }
 
+/// Bounds the memory that the kernel takes for bytes that the peer has not acknowledged.
+pub(crate) fn limit_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+    sockopt::set_socket_send_buffer_size(stream, bytes)?;
+    Ok(())
+}
+
 /// Sets the options of an open connection: no delay, keep-alive and the timeout for acknowledgements.
 pub(crate) fn prepare(stream: &TcpStream, ack_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
