Give the answer to a shed body time to leave

Whether a shed connection still owes an answer was asked after the refusal had changed its state, depending on the order in which its futures were polled; the connection could then close at once and its reset overtake the 503. The state is now taken when the connection is shed.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -147,6 +147,8 @@
     /// Whether the HTTP library has taken the whole answer. It may still hold unwritten bytes.
     answer_taken: Cell<bool>,
     shed: Cell<Option<Shed>>,
+    /// Whether a body was being read when the connection was shed.
+    owes_answer: Cell<bool>,
     shed_now: Notify,
     writable: Notify,
 }
@@ -207,6 +209,7 @@
             blocked_since: Cell::new(None),
             answer_taken: Cell::new(false),
             shed: Cell::new(None),
+            owes_answer: Cell::new(false),
             shed_now: Notify::new(),
             writable: Notify::new(),
         });
@@ -284,6 +287,8 @@
         count.set(count.get() + 1);
         self.connections.borrow_mut().remove(&connection.id);
         connection.shed.set(Some(reason));
+        let reads_body = connection.phase.get() == Phase::Body;
+        connection.owes_answer.set(reads_body);
         connection.shed_now.notify_waiters();
     }
 }
@@ -371,9 +376,9 @@
         }
     }
 
-    /// Returns whether a request on the connection is being answered, so that a shed connection needs time for it.
-    pub(crate) fn is_reading_body(&self) -> bool {
-        self.phase.get() == Phase::Body
+    /// Returns whether a body was being read when the connection was shed, so that its request is still to be answered.
+    pub(crate) fn owes_answer(&self) -> bool {
+        self.owes_answer.get()
     }
 
     fn record_read(&self) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -165,7 +165,7 @@
 /// Waits until a connection that was shed is to be closed. If its body was being read, its request is answered first.
 async fn wait_until_closed(connection: &Connection) {
     let reason = connection.wait_shed().await;
-    if reason != Shed::Unread && connection.is_reading_body() {
+    if reason != Shed::Unread && connection.owes_answer() {
         sleep(SHED_ANSWER_TIMEOUT).await;
     }
 }
