Test that an unread stream is cancelled and does not look complete

A caller with a small receive buffer leaves a stream without end unread: the engine's connection is closed before half of the request's deadline, and what the caller then reads is no complete response.

--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -12,16 +12,16 @@
 };
 
 use jaystand_adapter_standin::{
-    answer::VALID_ANSWER,
+    answer::{VALID_ANSWER, answer_head, stream_headers},
     call::{Call, Kind},
     exchange::{Answer, exchange, read, read_request},
-    objects::{Entry, config},
+    objects::{Entry, config, weights},
     store::Store,
 };
 use support::{Fixture, Process, request};
 use tokio::{
     io::AsyncWriteExt as _,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -39,6 +39,8 @@
     _store: Store,
     /// Requests that the server has run.
     runs: Arc<AtomicUsize>,
+    /// Streams of the engine whose connection was closed before their end.
+    cancelled: Arc<AtomicUsize>,
 }
 
 impl Gateway {
@@ -54,6 +56,16 @@
             version: 1,
         };
         store.put("servers", "i-1", &entry.text());
+        let mut address = fixture.server();
+        address.set_port(9_101);
+        let cancelled = stream_without_end(address).await;
+        let entry = Entry {
+            service: "lm",
+            address,
+            ..entry
+        };
+        store.put("servers", "i-2", &entry.text());
+        store.put("versions", "reef", &weights(1));
         let config = config(3, "\"key-1\"")
             .replace(
                 "\"maxBodyBytes\":4096",
@@ -66,6 +78,7 @@
             fixture,
             _store: store,
             runs,
+            cancelled,
         };
         let served = async {
             loop {
@@ -112,6 +125,35 @@
     runs
 }
 
+/// Starts an engine whose streams do not end. Returns the counter of those that were cancelled.
+async fn stream_without_end(address: SocketAddr) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(address).await.expect("a free address");
+    let cancelled = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&cancelled);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let cancelled = Arc::clone(&counted);
+            tokio::spawn(async move {
+                let mut bytes = Vec::new();
+                let Some(received) = read_request(&mut stream, &mut bytes).await else {
+                    return;
+                };
+                if !received.request_line().contains("flow") {
+                    return;
+                }
+                let head = format!("{}{}", answer_head(received.id()), stream_headers(1));
+                let event = format!("data: {}\n\n", "x".repeat(1_000));
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                if stream.write_all(head.as_bytes()).await.is_ok() {
+                    while stream.write_all(chunk.as_bytes()).await.is_ok() {}
+                }
+                cancelled.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    cancelled
+}
+
 fn call(id: &str, line: &str, body: &str) -> String {
     let call = Call {
         id,
@@ -261,3 +303,38 @@
     assert!(refused > 0, "no body was shed");
     assert_eq!(runs + refused, served + 2);
 }
+
+/// Guards against a stream that its caller does not read and that stays at its server until the server cuts it off, and
+/// against an end that makes it look complete.
+#[tokio::test]
+async fn an_unread_stream_is_cancelled_and_looks_incomplete() {
+    let gateway = Gateway::start(63, "memory_mb = 48").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a socket");
+    let stream = socket.connect(gateway.fixture.front()).await;
+    let mut stream = stream.expect("connected");
+    let call = Call {
+        id: "unread",
+        kind: Kind::Stream,
+        line: "GET /talk/flow",
+        body: "",
+        key: "key-1",
+        timeout: HANG_TIMEOUT,
+    };
+    stream
+        .write_all(call.text().as_bytes())
+        .await
+        .expect("sent");
+    let cancelled = async {
+        while gateway.cancelled.load(Ordering::SeqCst) == 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    // The deadline is twice as far away, so it is not what cancels the stream.
+    timeout(HANG_TIMEOUT / 2, cancelled)
+        .await
+        .expect("cancelled");
+    let answer = timeout(HANG_TIMEOUT / 2, read(&mut stream)).await;
+    let answer = answer.expect("the connection is closed");
+    assert!(answer.is_none_or(|answer| answer.status == 200 && !answer.complete));
+}
