--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -207,6 +207,7 @@
             holdings: &holdings,
             stores: &[],
             reach: &reach,
+            estimate: None,
             data_centre: &"a".into(),
         };
         let query = Query {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -26,8 +26,10 @@
 use tokio::time::timeout;
 
 use crate::{
+    account::{Connection, Shed},
     admit::{self, Admitted, local_reply},
-    buffer, check, clock,
+    buffer::{self, Source},
+    check, clock,
     hub::{Hub, RecentPart, whole_ms},
     link,
     meter::MeteredBody,
@@ -144,7 +146,11 @@
 pub(crate) type Chosen = (Choice, std::net::SocketAddr, CompactString);
 
 /// Serves a request. Returns its final answer, or a response whose body is the stream.
-pub(crate) async fn serve(hub: Rc<Hub>, request: Request<Incoming>) -> Response<Reply> {
+pub(crate) async fn serve(
+    hub: Rc<Hub>,
+    connection: Rc<Connection>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
     let arrived = hub.now();
     let (parts, body) = request.into_parts();
     let (id, admitted) = admit::admit(&hub, arrived, &parts);
@@ -154,10 +160,12 @@
     };
     let mut call = Call::new(&hub, arrived, id.unwrap_or_default(), admitted, parts);
     call.record_offered();
-    match call.read_body(body).await {
+    match call.read_body(body, &connection).await {
         Ok(body) => call.set_body(body),
         Err(answer) => return *answer,
     }
+    connection.set_forwarded();
+    drop(connection);
     match call.route.delivery {
         Delivery::Whole => call.serve_whole().await,
         Delivery::Events => relay::serve(call).await,
@@ -228,15 +236,26 @@
     }
 
     /// Reads the request's body. Fails with the answer to the caller if that is not possible.
-    async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Box<Response<Reply>>> {
+    async fn read_body(
+        &mut self,
+        body: Incoming,
+        connection: &Connection,
+    ) -> Result<Bytes, Box<Response<Reply>>> {
         let hub = Rc::clone(&self.hub);
-        let read = hub.buffers.collect(body, hub.body_limit());
+        let source = Source {
+            account: &hub.accounts.callers,
+            connection,
+        };
+        let read = hub.buffers.collect(body, hub.body_limit(), Some(source));
         let answer = match timeout(self.time_left(), read).await {
             Ok(Ok(body)) => return Ok(body),
             Ok(Err(buffer::Error::TooLong(_))) => {
                 self.reject(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
             }
-            Ok(Err(buffer::Error::Full)) => self.give_up(&Failure {
+            Ok(Err(buffer::Error::Shed(Shed::BodyStalled))) => {
+                self.reject(StatusCode::REQUEST_TIMEOUT, "body stalled")
+            }
+            Ok(Err(buffer::Error::Full | buffer::Error::Shed(_))) => self.give_up(&Failure {
                 reason: Reason::Memory,
             }),
             Ok(Err(buffer::Error::Broken(_))) => {
@@ -277,7 +296,7 @@
         } = answer;
         let server = pooled.server;
         let hub = Rc::clone(&self.hub);
-        let read = hub.buffers.collect(body, MAX_ANSWER_BYTES);
+        let read = hub.buffers.collect(body, MAX_ANSWER_BYTES, None);
         let body = match timeout(self.time_left(), read).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
@@ -534,7 +553,7 @@
             stores: &state.part_stores,
             reach: &state.reach,
             data_centre: &settings.data_centre,
-            estimate: state.estimate.as_ref(),
+            estimate: state.placement_estimate(),
         };
         let query = Query {
             call: prompt::hash(self.id.as_bytes()),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -5,7 +5,10 @@
     collections::VecDeque,
     net::IpAddr,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -39,9 +42,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    account::{Accounts, Shed},
     buffer::Buffers,
     clock,
     entries::Entries,
+    front,
     metrics::Metrics,
     pack::Packed,
     pool::{Pool, Pooled},
@@ -67,6 +72,9 @@
     pub(crate) buffers: Buffers,
     /// Requests that wait until a server has capacity.
     pub(crate) waiting: Waiting,
+    pub(crate) accounts: Accounts,
+    /// Bytes of streams that wait for their callers.
+    pub(crate) unread_bytes: Arc<AtomicUsize>,
     pub(crate) state: RefCell<State>,
     /// Wakes the task that gives weight orders.
     pub(crate) weights_changed: Notify,
@@ -129,6 +137,8 @@
     pub(crate) peers: Peers<IpAddr>,
     /// The requests that other hosts have sent since their reports; `None` if placement takes reports as they are.
     pub(crate) estimate: Option<Estimate>,
+    /// Fleet size from which on the estimate is used for placement.
+    pub(crate) even_load_hosts: usize,
     pub(crate) hosts: HashMap<IpAddr, Host>,
     pub(crate) config_feed: Feed,
     pub(crate) servers_feed: Feed,
@@ -255,7 +265,8 @@
             suspicions: Suspicions::default(),
             part_stores: Vec::new(),
             peers: Peers::default(),
-            estimate: settings.even_load.then(Estimate::default),
+            estimate: settings.even_load_hosts.map(|_| Estimate::default()),
+            even_load_hosts: settings.even_load_hosts.unwrap_or(usize::MAX),
             hosts: HashMap::new(),
             config_feed: Feed::default(),
             servers_feed: Feed::default(),
@@ -270,6 +281,8 @@
             store: Store::new(settings.store),
             buffers: Buffers::new(settings.buffer_bytes),
             waiting: Waiting::new(settings.buffer_bytes),
+            accounts: Accounts::new(settings.caller_connections),
+            unread_bytes: Arc::default(),
             relays: RefCell::new(relays),
             packed_copy: RefCell::new(None),
             source: watch::Sender::new(Source::Unknown),
@@ -689,6 +702,44 @@
         config.map_or(0, |config| config.limits().body_bytes)
     }
 
+    /// Closes the connections of clients that are too slow, and updates the metrics of connections.
+    pub(crate) fn sweep_connections(&self) {
+        let config = self.state.borrow().config.clone();
+        let (head_timeout, idle_timeout) = config.map_or(
+            (front::DEFAULT_HEAD_TIMEOUT, front::DEFAULT_IDLE_TIMEOUT),
+            |config| {
+                let limits = config.limits();
+                (limits.head_timeout, limits.idle_timeout)
+            },
+        );
+        let clients = &self.metrics.clients;
+        for (listener, account) in self.accounts.all() {
+            account.sweep(head_timeout, idle_timeout);
+            let open = i64::try_from(account.len()).unwrap_or(i64::MAX);
+            let connections = &clients.open_connections;
+            connections.with_label_values(&[listener]).set(open);
+            for reason in Shed::ALL {
+                let shed = account.take_shed(reason);
+                if shed == 0 {
+                    continue;
+                }
+                let labels = [listener, reason.as_str()];
+                clients.shed.with_label_values(&labels).inc_by(shed);
+                if reason != Shed::Idle {
+                    log::warn!(listener, reason = reason.as_str(), shed, open; "connections shed");
+                }
+            }
+        }
+        let held = [
+            ("bodies", self.buffers.used_bytes()),
+            ("streams", self.unread_bytes.load(Ordering::Relaxed)),
+        ];
+        for (kind, bytes) in held {
+            let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+            clients.held_bytes.with_label_values(&[kind]).set(bytes);
+        }
+    }
+
     /// Returns the number of hosts that share the retry budget and the connections to servers, this one included.
     pub(crate) fn share_count(&self) -> usize {
         self.state.borrow().sharers.count() + 1
@@ -702,6 +753,13 @@
 }
 
 impl State {
+    /// Returns the estimate of the servers' load if the fleet is large enough to use it. In a fleet of six to eight hosts
+    /// each knows most of the load from fresh reports, and the lowest score serves more requests in time.
+    pub(crate) fn placement_estimate(&self) -> Option<&Estimate> {
+        let is_used = self.sharers.count() + 1 >= self.even_load_hosts;
+        self.estimate.as_ref().filter(|_| is_used)
+    }
+
     /// Records that a version of the configuration was the newest one at a time.
     pub(crate) fn confirm_config(&mut self, version: Version, at: Moment) {
         let in_force = self.config.as_ref().map_or(0, |config| config.version());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use jaystand_dispatch::limit::Call;
 use prometheus::{
-    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::quota;
@@ -42,6 +42,8 @@
     pub(crate) suspected_requests: IntGauge,
     /// Waiting requests and the capacity of servers.
     pub(crate) waiting: waiting::Metrics,
+    /// What clients hold.
+    pub(crate) clients: Clients,
     /// Dropped log lines.
     pub(crate) dropped_lines: IntCounter,
     /// Complete copies that were asked for because the servers differed from those of the followed host.
@@ -60,6 +62,55 @@
     pub(crate) server_load: GaugeVec,
 }
 
+/// Metrics of what clients hold.
+pub(crate) struct Clients {
+    /// Connections by listener.
+    pub(crate) open_connections: IntGaugeVec,
+    /// Bytes of whole bodies, and of streams that wait for their callers.
+    pub(crate) held_bytes: IntGaugeVec,
+    /// Connections that were shed, by listener and reason.
+    pub(crate) shed: IntCounterVec,
+}
+
+impl Clients {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        let shed = Opts::new(
+            "jaystand_shed_total",
+            "Connections closed and bodies refused for what they held or how slow they were.",
+        );
+        let shed = IntCounterVec::new(shed, &["listener", "reason"])?;
+        registry.register(Box::new(shed.clone()))?;
+        Ok(Self {
+            open_connections: gauges(
+                "jaystand_open_connections",
+                "Open connections by listener.",
+                "listener",
+            )?,
+            held_bytes: gauges(
+                "jaystand_held_bytes",
+                "Bytes held for callers: whole bodies, and streams that wait for slow readers.",
+                "kind",
+            )?,
+            shed,
+        })
+    }
+}
+
+fn register_server_load(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
+    let options = Opts::new(
+        "jaystand_server_load",
+        "Requests in flight at a service's servers, with `even_load_hosts`.",
+    );
+    let server_load = GaugeVec::new(options, &["service", "measure"])?;
+    registry.register(Box::new(server_load.clone()))?;
+    Ok(server_load)
+}
+
 impl Metrics {
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
@@ -73,12 +124,7 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let options = Opts::new(
-            "jaystand_server_load",
-            "Requests in flight at a service's servers, with `even_load`.",
-        );
-        let server_load = GaugeVec::new(options, &["service", "measure"])?;
-        registry.register(Box::new(server_load.clone()))?;
+        let server_load = register_server_load(&registry)?;
         let options = HistogramOpts::new(
             "jaystand_first_byte_seconds",
             "Time from a request's head to its answer or first event.",
@@ -137,6 +183,7 @@
                 &["service", "result"],
             )?,
             quota: quota::Metrics::register(&registry)?,
+            clients: Clients::new(&registry)?,
             budget_hosts: gauge(
                 "jaystand_retry_budget_hosts",
                 "Hosts that share the slack of the retry budget, this one included.",
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -127,7 +127,7 @@
     /// Charges to the rate limits of teams; absent in deployments without such limits.
     #[prost(message, optional, tag = "23")]
     quota: Option<QuotaReport>,
-    /// How long first events and answers of servers took, in whole reports of hosts with `even_load`.
+    /// How long first events and answers of servers took, in whole reports of hosts with `even_load_hosts`.
     #[prost(message, repeated, tag = "25")]
     speeds: Vec<SpeedEntry>,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -268,6 +268,7 @@
         for name in gone {
             log::info!(server = name.as_str(); "the server's missing entry did not return; the server counts as gone");
         }
+        hub.sweep_connections();
         probe_data_centres(&hub, now);
         quota::observe(&hub);
         accepted_keys = log_key_acceptance(&hub, accepted_keys);
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -569,6 +569,6 @@
         stores: &state.part_stores,
         reach: &state.reach,
         data_centre,
-        estimate: state.estimate.as_ref(),
+        estimate: state.placement_estimate(),
     }
 }
