--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -34,6 +34,7 @@
 pub struct Fixture {
     address: Ipv4Addr,
     settings: PathBuf,
+    limits: String,
 }
 
 impl Fixture {
@@ -51,7 +52,12 @@
             "jaystand-gateway-{}-{number}.toml",
             std::process::id()
         ));
-        let fixture = Self { address, settings };
+        let limits = limits.to_owned();
+        let fixture = Self {
+            address,
+            settings,
+            limits,
+        };
         fixture.write_settings(bounds);
         fixture
     }
@@ -60,6 +66,7 @@
     pub fn write_settings(&self, bounds: &str) {
         let address = self.address;
         let number = address.octets()[3];
+        let limits = &self.limits;
         let text = format!(
             "host = \"host-{number}\"\ndata_centre = \"a\"\npeer_port = 8702\nseeds = []\n\
              [listen]\nfront = \"{address}:8700\"\nready = \"{address}:8701\"\n\
