--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod hub;
 mod link;
 mod logs;
+mod message;
 mod meter;
 mod metrics;
 mod news;
