--- a/crates/dispatch/src/capacity.rs
+++ b/crates/dispatch/src/capacity.rs
@@ -24,7 +24,7 @@
 const MEMORY_EXCESS: f64 = 0.5;
 /// Prompts that wait for an engine, as the time to compute them. Objectives of urgent streams begin at 800 ms, and
 /// engines compute urgent prompts first.
-const BACKLOG: Duration = Duration::from_millis(1_000);
+const BACKLOG: Duration = Duration::from_secs(1);
 /// Upper bound on the slowdown that counts. Engines differ by a factor of up to 2.4; single late events by more.
 const MAX_SLOWDOWN: f64 = 2.4;
 /// An engine with fewer requests than this is not full by its backlog: a single prompt of 70,000 tokens takes 2 s.
