--- a/crates/dispatch/tests/lease.rs
+++ b/crates/dispatch/tests/lease.rs
@@ -184,7 +184,7 @@
 }
 
 /// Guards against a lease that is taken from a holder which this host cannot hear, but which renews it at the store
-/// (review/1: two data centres lost each other, and engines got orders of both).
+/// (case 1 of the review: two data centres lost each other, and engines got orders of both).
 #[test]
 fn a_holder_that_renews_without_being_heard_is_not_replaced() {
     let (mut store, mut a, mut b) = (Store::default(), lease("a"), lease("b"));
--- a/crates/dispatch/tests/replica.rs
+++ b/crates/dispatch/tests/replica.rs
@@ -78,7 +78,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
-    /// Guards against followers that lose an entry which was removed and returned between two copies (review/3: five of
+    /// Guards against followers that lose an entry which was removed and returned between two copies (case 3 of the review: five of
     /// six hosts had no server until the end of the run), or that keep one which is gone.
     #[test]
     fn a_follower_has_the_state_of_the_store_however_changes_are_split(events in events()) {
--- a/crates/dispatch/tests/suspicion.rs
+++ b/crates/dispatch/tests/suspicion.rs
@@ -454,7 +454,7 @@
     outcome
 }
 
-/// Guards against a request that ends server after server once they have sent events of its answer (review/4: ten servers),
+/// Guards against a request that ends server after server once they have sent events of its answer (case 4 of the review: ten servers),
 /// and against its neighbours, which are refused with it.
 #[test]
 fn a_request_that_cuts_servers_stops_and_its_neighbours_are_resumed() {
--- a/crates/dispatch/tests/weights.rs
+++ b/crates/dispatch/tests/weights.rs
@@ -74,7 +74,7 @@
 }
 
 /// Guards against a host that takes the version which it found at its start as just named when it lists a second time
-/// (review/5: requests began on weights that were replaced 15.3 s before, 12 s allowed).
+/// (case 5 of the review: requests began on weights that were replaced 15.3 s before, 12 s allowed).
 #[test]
 fn a_second_list_does_not_make_a_version_younger() {
     let mut versions = Versions::new(SETTINGS);
--- a/crates/gateway/tests/grace.rs
+++ b/crates/gateway/tests/grace.rs
@@ -37,7 +37,7 @@
 }
 
 /// Guards against a grace period that was raised by a reload and does not reach the stop: an order that its server was
-/// running was cut 1.4 s after SIGTERM (review/2). The signals come together, so that the stop may begin before the
+/// running was cut 1.4 s after SIGTERM (case 2 of the review). The signals come together, so that the stop may begin before the
 /// reload.
 #[tokio::test]
 async fn a_raised_grace_period_reaches_the_stop() {
