Review: show that new weights of one model close another one at most hosts

Callers: after version 2 of model m1 is named, five of six hosts answer every request for model m0 with 503, and do not recover. Servers: they get requests for m0 that expect version 2 and answer 421; they serve m0 at version 1.

At fault: reports between hosts (message.rs, UpdateEntry) name a server and a version but no model, and peer.rs, apply_report, takes the version as that of the server's first model. Versions only grow (directory.rs), so that the server's own entry does not correct it.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,7 +2,9 @@
 //!
 //! `review-standin-2 CASE FOLDER` exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
+mod engine;
 mod http;
+mod models;
 mod record;
 mod site;
 mod stop;
@@ -28,6 +30,7 @@
     };
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
+        "models" => models::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         _ => Err("unknown case".into()),
     };
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    engine::Engine,
     http::{Message, Wire, answer},
     record::Record,
     store::Store,
@@ -23,6 +24,8 @@
 const READY_PORT: u16 = 8_789;
 const PEER_PORT: u16 = 7_340;
 const METRICS_PORT: u16 = 9_464;
+/// The zones of the six machines of `cairn-quito.toml`.
+const ZONES: [&str; 6] = ["pichincha", "cotopaxi", "imbabura", "chimborazo", "pichincha", "cotopaxi"];
 
 /// What a server does with a request. Returns false to close the connection.
 pub type Behaviour = dyn Fn(&mut Wire, &Message) -> bool + Send + Sync;
@@ -35,6 +38,8 @@
     pub routes: String,
     /// Teams as JSON, separated by commas.
     pub tenants: String,
+    /// Names of the models of the service `oraculo`.
+    pub models: &'static [&'static str],
 }
 
 pub struct Site {
@@ -93,11 +98,13 @@
              {{\"name\":\"oraculo\",\"healthPath\":\"/healthz\",\"maxConns\":200,\"protocol\":\"h1\",\"tls\":false,\
              \"engine\":{{\"slots\":24,\"kvCapacity\":206138,\"kvTokenBytes\":131072,\"linkMbps\":1100000.0,\
              \"moves\":true,\"backups\":true,\"stride\":9,\"maxInflight\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\
-             \"handle_s\":5.0,\"models\":[{{\"name\":\"m0\"}}]}}}},\
+             \"handle_s\":5.0,\"models\":[{}]}}}},\
              {{\"name\":\"libro\",\"healthPath\":\"/healthz\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
              \"idleTimeoutMs\":15000}},\"tenants\":[{}]}}",
-            figures.routes, figures.tenants
+            figures.routes,
+            figures.models.iter().map(|name| format!("{{\"name\":\"{name}\"}}")).collect::<Vec<_>>().join(","),
+            figures.tenants
         );
         store.put("config", "main", &config);
         Ok(Self {
@@ -124,15 +131,23 @@
         number: u8,
         service: &str,
         behaviour: impl Fn(&mut Wire, &Message) -> bool + Send + Sync + 'static,
+    ) -> io::Result<()> {
+        self.server_without_entry(number, service, behaviour)?;
+        let address = self.address(100 + number, SERVER_PORT);
+        let name = server_name(service, number);
+        self.store.put("servers", &name, &entry(service, address, number, ""));
+        Ok(())
+    }
+
+    fn server_without_entry(
+        &self,
+        number: u8,
+        service: &str,
+        behaviour: impl Fn(&mut Wire, &Message) -> bool + Send + Sync + 'static,
     ) -> io::Result<()> {
         let address = self.address(100 + number, SERVER_PORT);
         let listener = TcpListener::bind(address)?;
-        let name = format!("i-{service}-{number}");
-        let models = if service == "oraculo" {
-            ",\"stage\":\"unified\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]"
-        } else {
-            ""
-        };
+        let name = server_name(service, number);
         let behaviour: Arc<Behaviour> = Arc::new(behaviour);
         let own_name = name.clone();
         thread::spawn(move || {
@@ -148,25 +163,46 @@
                 });
             }
         });
-        let entry = format!(
-            "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"pichincha\",\"version\":\"v1\",\
-             \"slots\":24,\"state\":\"ready\",\"coldLeftMs\":0,\"born\":1790000000000,\"seq\":4{models}}}"
-        );
-        self.store.put("servers", &name, &entry);
         Ok(())
     }
 
-    /// Starts a gateway and waits until it is ready and its connections to the store are settled.
-    pub fn gateway(&mut self) -> io::Result<usize> {
+    /// Starts an engine and registers it. It calls `began` when a request begins to run.
+    pub fn engine(
+        &self,
+        number: u8,
+        began: impl Fn(&Message, &[(String, u64)]) + Send + Sync + 'static,
+    ) -> io::Result<()> {
+        let address = self.address(100 + number, SERVER_PORT);
+        let engine = Engine::new(self.record.clone(), self.store.clone(), number, address, self.figures.models);
+        engine.register();
+        self.server_without_entry(number, "oraculo", move |wire, request| engine.answer(wire, request, &began))
+    }
+
+    /// Starts gateways and waits until they are ready and know each other.
+    pub fn start_gateways(&mut self, count: usize) -> io::Result<()> {
+        let first = self.gateways.len();
+        for _ in 0..count {
+            self.start_gateway()?;
+        }
+        for number in first..first + count {
+            self.await_ready(number)?;
+        }
+        thread::sleep(Duration::from_millis(2_500));
+        self.record.line(format!("gateways {first} to {} are ready", first + count - 1));
+        Ok(())
+    }
+
+    fn start_gateway(&mut self) -> io::Result<()> {
         let number = self.gateways.len();
         let host = 200 + u8::try_from(number).unwrap_or(0);
         let ip = self.address(host, 0).ip();
-        let seed = self.address(200, 8_783);
+        let seeds: Vec<String> = (200..203).map(|host| format!("\"{}\"", self.address(host, 8_783))).collect();
+        let (seeds, zone) = (seeds.join(","), ZONES[number % ZONES.len()]);
         let Figures { memory_mb, grace_s, .. } = self.figures;
         let store = self.address(1, STORE_PORT);
         let settings = format!(
-            "host = \"front-pichincha-{number}\"\ndata_centre = \"pichincha\"\npeer_port = {PEER_PORT}\n\
-             bootstrap = true\nseeds = [\"{seed}\"]\n\n[listen]\nfront = \"{ip}:{FRONT_PORT}\"\n\
+            "host = \"front-{zone}-{number}\"\ndata_centre = \"{zone}\"\npeer_port = {PEER_PORT}\n\
+             bootstrap = true\nseeds = [{seeds}]\n\n[listen]\nfront = \"{ip}:{FRONT_PORT}\"\n\
              ready = \"{ip}:{READY_PORT}\"\nmetrics = \"{ip}:{METRICS_PORT}\"\n\n[limits]\nmemory_mb = {memory_mb}\n\
              descriptors = 4100\nlink_mbps = 1000.0\n\n[store]\naddress = \"{store}\"\n\n[bounds]\n\
              grace_s = {grace_s}\nlease_ms = 3000\nweights_ms = 6000\nretry_ratio = 0.2\nretry_slack = 52\n\
@@ -188,16 +224,18 @@
             front: SocketAddr::new(ip, FRONT_PORT),
             ready: SocketAddr::new(ip, READY_PORT),
         };
-        let ready = gateway.ready;
         self.gateways.push(gateway);
+        Ok(())
+    }
+
+    fn await_ready(&self, number: usize) -> io::Result<()> {
+        let ready = self.gateways[number].ready;
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             if ask(ready, "GET /v1/readyz HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\r\n")
                 .is_ok_and(|answer| answer.status() == 200)
             {
-                thread::sleep(Duration::from_millis(1_500));
-                self.record.line(format!("gateway {number} is ready"));
-                return Ok(number);
+                return Ok(());
             }
             thread::sleep(Duration::from_millis(50));
         }
@@ -223,6 +261,20 @@
     }
 }
 
+pub fn server_name(service: &str, number: u8) -> String {
+    format!("i-{service}-{number}")
+}
+
+/// The entry of a server. `more` has further fields, after a comma.
+pub fn entry(service: &str, address: SocketAddr, number: u8, more: &str) -> String {
+    let zone = ZONES[usize::from(number) % ZONES.len()];
+    let slots = if service == "oraculo" { 24 } else { 6 };
+    format!(
+        "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+         \"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"born\":1790000000000,\"seq\":4{more}}}"
+    )
+}
+
 fn serve(wire: &mut Wire, request: &Message, name: &str, behaviour: &Arc<Behaviour>) -> bool {
     let instance = format!("x-instance-id: {name}\r\n");
     let expected = request.header("x-expect-instance");
@@ -235,11 +287,6 @@
         let none = b"{\"bootEpoch\":1,\"next\":0,\"lost\":false,\"events\":[]}";
         return wire.send(&answer("200 OK", &instance, none)).is_ok();
     }
-    if path.starts_with("/v1/report") {
-        let text = "{\"stage\":\"unified\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\
-                    \"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":206138,\"handles\":0}";
-        return wire.send(&answer("200 OK", &instance, text.as_bytes())).is_ok();
-    }
     behaviour(wire, request)
 }
 
--- a/review/standin-2/src/stop.rs
+++ b/review/standin-2/src/stop.rs
@@ -32,6 +32,7 @@
             ]
             .join(","),
             tenants: tenant("registry", "key-registry", false),
+            models: &["m0"],
         },
     )?;
     for number in 1..=2 {
@@ -47,7 +48,8 @@
             sent
         })?;
     }
-    let gateway = site.gateway()?;
+    site.start_gateways(1)?;
+    let gateway = 0;
     let front = site.gateways[gateway].front;
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
