Review: show that requests without X-Token-Usage cross the wall of a dedicated team

Servers: they get such requests without X-Cache-Salt, which counts as one text shared by all, so that requests of a dedicated team and of another one use each other's cached parts.

At fault: platform/src/request.rs, prompt(), which finds no prompt if one of three headers is missing, and call.rs, request_for_server(), which sets the salt only with a prompt.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod site;
 mod stop;
 mod store;
+mod wall;
 
 use std::{path::Path, process::ExitCode};
 
@@ -32,6 +33,7 @@
     let result = match case.as_str() {
         "models" => models::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
+        "wall" => wall::run(&record, trouble),
         _ => Err("unknown case".into()),
     };
     match result {
