Review: show that stalled bodies of a crowd displace the answers of servers

Callers: while 900 clients hold bodies of 32 KiB open that miss their last byte, every lookup, and every order without a body, is answered 502. Servers: they have run each of them and answered it with 200.

At fault: buffer.rs, where callers' bodies may take all memory for bodies, and a server's answer, unlike a caller's body, does not shed stalled ones to get its own.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `review-standin-2 CASE FOLDER` exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
+mod crowd;
 mod engine;
 mod http;
 mod models;
@@ -31,6 +32,7 @@
     };
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
+        "crowd" => crowd::run(&record, trouble),
         "models" => models::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         "wall" => wall::run(&record, trouble),
