--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,12 +4,15 @@
 
 mod crowd;
 mod engine;
+mod entries;
+mod fields;
 mod http;
 mod models;
 mod record;
 mod site;
 mod stop;
 mod store;
+mod twice;
 mod wall;
 
 use std::{path::Path, process::ExitCode};
@@ -33,8 +36,11 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
         "crowd" => crowd::run(&record, trouble),
+        "entries" => entries::run(&record, trouble),
+        "fields" => fields::run(&record, trouble),
         "models" => models::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
+        "twice" => twice::run(&record, trouble),
         "wall" => wall::run(&record, trouble),
         _ => Err("unknown case".into()),
     };
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -10,6 +10,9 @@
 
 use crate::http::{Message, Wire, answer};
 
+/// Stands in texts for a byte that is no text. Answers have 0xff in its place.
+pub const NO_TEXT: char = '\u{e000}';
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -29,6 +32,21 @@
     )
 }
 
+/// Replaces the marker, and the length that counted its bytes.
+fn with_no_text(bytes: Vec<u8>) -> Vec<u8> {
+    let marker = NO_TEXT.to_string().into_bytes();
+    let Some(head) = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4) else {
+        return bytes;
+    };
+    let mut body = bytes[head..].to_vec();
+    let mut found = false;
+    while let Some(at) = body.windows(marker.len()).position(|w| w == marker) {
+        body.splice(at..at + marker.len(), [0xff]);
+        found = true;
+    }
+    if found { answer("200 OK", "content-type: application/json\r\n", &body) } else { bytes }
+}
+
 impl Store {
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
         let store = Self::default();
@@ -42,7 +60,7 @@
                     let mut wire = Wire::new(stream);
                     while let Ok(Some(request)) = wire.read() {
                         let bytes = store.reply(&request);
-                        if wire.send(&bytes).is_err() {
+                        if wire.send(&with_no_text(bytes)).is_err() {
                             return;
                         }
                     }
