--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -13,6 +13,7 @@
 mod stop;
 mod store;
 mod twice;
+mod upload;
 mod wall;
 
 use std::{path::Path, process::ExitCode};
@@ -41,6 +42,7 @@
         "models" => models::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         "twice" => twice::run(&record, trouble),
+        "upload" => upload::run(&record, trouble),
         "wall" => wall::run(&record, trouble),
         _ => Err("unknown case".into()),
     };
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -132,6 +132,13 @@
         Self::address_in(self.prefix, host, port)
     }
 
+    /// Registers a server that the case itself starts. Returns its address.
+    pub fn register(&self, number: u8, service: &str) -> SocketAddr {
+        let address = self.address(100 + number, SERVER_PORT);
+        self.store.put("servers", &server_name(service, number), &entry(service, address, number, ""));
+        address
+    }
+
     /// Starts a server and registers it. Calls about the server itself are answered; the behaviour gets the others.
     pub fn server(
         &self,
