Review: show that one entry that is no text hides all servers

Callers: requests on a route to a new service are answered 503 for as long as an entry of another writer holds a byte that is no UTF-8; after a restart of all hosts, none becomes ready. Platform: the gateway lists the servers again without end.

At fault: platform/src/store.rs, page() and changes(), which decode the whole text at once, so that one item that cannot be read fails the list and the watch.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-2/release/review-standin-2 entries review/6
