--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -271,11 +271,11 @@
     pub fn signal(&self, number: usize, name: &str) -> io::Result<()> {
         let id = self.gateways[number].child.id().to_string();
         self.record.line(format!("SIG{name} to gateway {number}"));
-        let status = Command::new("kill").args([&format!("-{name}"), &id]).status()?;
+        let status = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
     }
 
-    /// Copies the last lines of a gateway's log into the record.
+    /// Copies the first lines of a gateway's log that have one of the words into the record.
     pub fn record_log(&self, number: usize, words: &[&str], most: usize) {
         let path = self.folder.join(format!("gateway-{number}.log"));
         let text = fs::read_to_string(path).unwrap_or_default();
