--- a/review/standin-2/src/crowd.rs
+++ b/review/standin-2/src/crowd.rs
@@ -60,6 +60,9 @@
     let front = site.gateways[0].front;
     let stopped = Arc::new(AtomicBool::new(false));
     let opened = Arc::new(AtomicUsize::new(0));
+    if trouble {
+        record.line(format!("{CROWD} clients send bodies of {BODY_BYTES} bytes to /history/x, without the last byte"));
+    }
     let crowd: Vec<_> = (0..if trouble { THREADS } else { 0 })
         .map(|number| {
             let (stopped, opened) = (Arc::clone(&stopped), Arc::clone(&opened));
@@ -82,6 +85,7 @@
                  authorization: Bearer key-registry\r\nconnection: close\r\ncontent-length: {body}\r\n\r\n{}",
                 "b".repeat(body)
             );
+            record.line(format!("{id} is sent: {line} with {body} bytes"));
             let status = match ask(front, &text) {
                 Ok(answer) if answer.complete => answer.status(),
                 _ => 0,
--- a/review/standin-2/src/entries.rs
+++ b/review/standin-2/src/entries.rs
@@ -72,6 +72,7 @@
 fn send(record: &Record, site: &Site, path: &str) -> usize {
     let mut served = 0;
     for number in 0..REQUESTS {
+        record.line(format!("r-{path}-{number} is sent to gateway {}: GET /{path}/x", number % 2));
         let answer = ask(
             site.gateways[number % 2].front,
             &format!(
--- a/review/standin-2/src/fields.rs
+++ b/review/standin-2/src/fields.rs
@@ -38,6 +38,7 @@
             "GET /lookup/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r-{number}\r\nx-deadline-ms: 1000\r\n\
              authorization: Bearer key-registry\r\n{fields}\r\n"
         );
+        record.line(format!("r-{number} is sent with a head of {} bytes", text.len()));
         let answer = ask(site.gateways[0].front, &text)?;
         record.line(format!("r-{number} with a head of {} bytes: {}", text.len(), answer.first_line));
         refused += usize::from((300..500).contains(&answer.status()));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and checks of the scripts under `review/`.
 //!
-//! `review-standin-2 CASE FOLDER` exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+//! `review-standin-2 CASE RECORD` writes the file RECORD, and exits with 0 if the rule held, 1 if it was broken, and 2 if
+//! the case could not run.
 
 mod crowd;
 mod engine;
@@ -23,11 +24,11 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-standin-2 CASE FOLDER");
+    let [_, case, path] = &arguments[..] else {
+        eprintln!("usage: review-standin-2 CASE RECORD");
         return ExitCode::from(2);
     };
-    let record = match record::Record::create(&Path::new(folder).join("record.txt")) {
+    let record = match record::Record::create(Path::new(path)) {
         Ok(record) => record,
         Err(error) => {
             eprintln!("no record: {error}");
--- a/review/standin-2/src/models.rs
+++ b/review/standin-2/src/models.rs
@@ -70,6 +70,7 @@
         for (number, gateway) in site.gateways.iter().enumerate() {
             for (turn, (path, model)) in KINDS.into_iter().enumerate() {
                 let id = format!("{when}-{path}-{number}-{round}-{turn}");
+                record.line(format!("{id} is sent to gateway {number}: POST /{path}/x for {model}"));
                 let answer = ask(
                     gateway.front,
                     &format!(
--- a/review/standin-2/src/stop.rs
+++ b/review/standin-2/src/stop.rs
@@ -49,6 +49,8 @@
         })?;
     }
     site.start_gateways(1)?;
+    // `stableWindowMs` of the site is 4 s, from the start of the gateway on.
+    thread::sleep(Duration::from_millis(1_500));
     let gateway = 0;
     let front = site.gateways[gateway].front;
     let callers: Vec<_> = (0..CALLERS)
@@ -80,6 +82,7 @@
          authorization: Bearer key-registry\r\ncontent-length: 0\r\n\r\n"
     );
     wire.send(request.as_bytes())?;
+    record.line(format!("{id} was sent: {line}"));
     let sent = Instant::now();
     let head = wire.read_head()?.ok_or("no head")?;
     record.line(format!("{id} got the head: {}", head.first_line));
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -72,8 +72,10 @@
 
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
-        let (state, changed) = &*self.0;
-        let mut state = state.lock().unwrap();
+        self.put_locked(&mut self.0.0.lock().unwrap(), kind, name, spec);
+    }
+
+    fn put_locked(&self, state: &mut State, kind: &str, name: &str, spec: &str) {
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -84,7 +86,7 @@
             object(name, revision, created, spec)
         );
         state.events.push((revision, kind.to_owned(), event));
-        changed.notify_all();
+        self.0.1.notify_all();
     }
 
     fn reply(&self, request: &Message) -> Vec<u8> {
@@ -167,10 +169,9 @@
         };
         let name = if name.is_empty() { field("name").unwrap_or_default() } else { name.to_owned() };
         let expected: Option<u64> = field("rev").and_then(|text| text.parse().ok());
-        let known = {
-            let state = self.0.0.lock().unwrap();
-            state.objects.get(&(kind.to_owned(), name.clone())).cloned()
-        };
+        // The condition and the write are one step.
+        let mut state = self.0.0.lock().unwrap();
+        let known = state.objects.get(&(kind.to_owned(), name.clone())).cloned();
         let conflict = match (&known, request.method()) {
             (Some(_), "POST") => true,
             (Some((revision, ..)), _) => expected.is_some_and(|expected| expected != *revision),
@@ -182,8 +183,7 @@
             let text = object(&name, revision, created, &spec);
             return answer("409 Conflict", JSON, text.as_bytes());
         }
-        self.put(kind, &name, spec);
-        let state = self.0.0.lock().unwrap();
+        self.put_locked(&mut state, kind, &name, spec);
         let (revision, created, spec) = &state.objects[&(kind.to_owned(), name.clone())];
         answer("200 OK", JSON, object(&name, *revision, *created, spec).as_bytes())
     }
--- a/review/standin-2/src/twice.rs
+++ b/review/standin-2/src/twice.rs
@@ -62,6 +62,7 @@
     thread::sleep(Duration::from_secs(2));
     for number in 0..REQUESTS {
         let id = format!("r-{number}");
+        record.line(format!("{id} is sent"));
         let answer = ask(
             site.gateways[0].front,
             &format!(
--- a/review/standin-2/src/upload.rs
+++ b/review/standin-2/src/upload.rs
@@ -52,6 +52,7 @@
     for number in 0..REQUESTS {
         let is_large = number % LARGE == LARGE - 1;
         let body = "b".repeat(if is_large { LARGE_BYTES } else { SMALL_BYTES });
+        record.line(format!("r-{number} is sent: POST /filing/x with {} bytes", body.len()));
         let started = Instant::now();
         let answer = ask(
             front,
--- a/review/standin-2/src/wall.rs
+++ b/review/standin-2/src/wall.rs
@@ -69,6 +69,7 @@
         for team in [DEDICATED, "rangers"] {
             let usage = if trouble { "" } else { "x-token-usage: 1460,80\r\n" };
             let id = format!("r-{team}-{round}");
+            record.line(format!("{id} is sent"));
             let answer = ask(
                 site.gateways[0].front,
                 &format!(
