--- a/review/standin-2/src/upload.rs
+++ b/review/standin-2/src/upload.rs
@@ -18,10 +18,10 @@
 /// One filing in ten has a large body; `maxBodyBytes` is 4,194,304.
 const REQUESTS: usize = 20;
 const LARGE: usize = 10;
-const LARGE_BYTES: usize = 2_000_000;
+const LARGE_BYTES: usize = 500_000;
 const SMALL_BYTES: usize = 600;
 /// A slow server reads so many bytes and then pauses.
-const READ_BYTES: usize = 256 << 10;
+const READ_BYTES: usize = 48 << 10;
 const READ_PAUSE: Duration = Duration::from_millis(1_000);
 
 pub fn run(record: &Record, trouble: bool) -> Result<bool> {
