End lists of the store that do not advance

Callers saw: a host that starts never became ready, and its memory grew without a bound, when a list of the store did not get past a page: the last name of the page is empty or too long for a call, or the store answers with the same page again.

Cause: a list had no bound. It went on as long as pages named a next one, also after a name that it had asked for already, kept all copies of all objects until its end, and failed as a whole if the next call could not be made.

It ends when a name comes back, when a page has no such name, or after 1,000 pages; what follows is then unknown, so that no server is removed and the changes are watched. Pages are applied as they arrive, so that a list holds one page and the names of servers, and servers on the pages before a failure are usable.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,19 +2,20 @@
 
 use std::{rc::Rc, time::Duration};
 
+use hashbrown::HashSet;
 use jaystand_adapter::{
     entry,
-    store::{Change, Object, Page},
+    store::{Change, Next, Object, Page},
 };
 use jaystand_dispatch::{revision::Revision, source::Source, weights::Sighting};
-use jaystand_types::Moment;
+use jaystand_types::{Moment, ServerName};
 use rand::RngExt as _;
 use tokio::time::sleep;
 
 use crate::{
     clock,
     hub::{Hub, Kind, is_config},
-    store::{Error, WATCH_WAIT},
+    store::{Error, Listed, WATCH_WAIT},
 };
 
 /// Pause between watches of servers, for each host that follows the store.
@@ -91,21 +92,25 @@
 /// Reads and applies one page of a kind, or the whole list if there are more pages and the kind isn't servers. Returns
 /// the revision if all objects were read.
 async fn list_at_start(hub: &Rc<Hub>, kind: Kind) -> Option<Revision> {
-    let (page, asked_at, _) = call_until_answered(hub, kind, async || {
-        hub.store.page(&hub.metrics, kind.store_kind(), None).await
+    let (listing, page, _) = call_until_answered(hub, kind, async |asked_at| {
+        let page = hub
+            .store
+            .page(&hub.metrics, kind.store_kind(), None)
+            .await?;
+        let mut listing = Listing::new(hub, kind, asked_at);
+        listing.adopt(&page);
+        Ok((listing, page))
     })
     .await;
-    if page.next_after.is_none() {
-        adopt_list(hub, kind, &page.objects, page.revision, asked_at);
-        return Some(page.revision);
+    if page.next == Next::End {
+        let (revision, complete) = (page.revision, true);
+        listing.finish(&Listed { revision, complete });
+        return Some(revision);
     }
     if kind != Kind::Servers {
         return Some(list(hub, kind).await.0);
     }
-    // Servers that the page lacks are not gone. The feed's revision stays, since the list is not complete.
-    for object in &page.objects {
-        hub.adopt_server(&object.name, &object.value);
-    }
+    // The feed's revision stays, since the list is not complete.
     log::info!(feed = kind.as_str(), objects = page.objects.len();
         "part of a long list taken in; the rest comes from the source that is chosen");
     None
@@ -113,34 +118,34 @@
 
 /// Lists until the store answers, and applies the list. Returns its revision, and whether calls failed before.
 async fn list(hub: &Rc<Hub>, kind: Kind) -> (Revision, bool) {
-    let (page, asked_at, failed) = call_until_answered(hub, kind, async || {
-        hub.store.list(&hub.metrics, kind.store_kind()).await
+    let (listing, listed, failed) = call_until_answered(hub, kind, async |asked_at| {
+        let mut listing = Listing::new(hub, kind, asked_at);
+        let adopt = |page: &Page| listing.adopt(page);
+        let listed = hub
+            .store
+            .list(&hub.metrics, kind.store_kind(), adopt)
+            .await?;
+        Ok((listing, listed))
     })
     .await;
-    adopt_list(hub, kind, &page.objects, page.revision, asked_at);
-    (page.revision, failed)
+    listing.finish(&listed);
+    (listed.revision, failed)
 }
 
-/// Calls the store until it answers. Returns the answer, when the answered call was made, and whether calls failed
-/// before.
-async fn call_until_answered(
+/// Calls the store until it answers. Passes on when each call is made. Returns what the call returns, and whether calls
+/// failed before.
+async fn call_until_answered<T, U>(
     hub: &Rc<Hub>,
     kind: Kind,
-    call: impl AsyncFn() -> Result<Page, Error>,
-) -> (Page, Moment, bool) {
+    call: impl AsyncFn(Moment) -> Result<(T, U), Error>,
+) -> (T, U, bool) {
     let mut backoff = FIRST_BACKOFF;
     let mut failed = false;
     loop {
-        let asked_at = clock::since_boot();
-        match call().await {
-            Ok(page) => {
-                hub.enter_era();
+        match call(clock::since_boot()).await {
+            Ok((first, second)) => {
                 hub.record_store_answer(kind, true);
-                if page.unreadable > 0 {
-                    log::warn!(feed = kind.as_str(), unreadable = page.unreadable;
-                        "objects that cannot be read are skipped");
-                }
-                return (page, asked_at, failed);
+                return (first, second, failed);
             }
             Err(error) => {
                 failed = true;
@@ -152,6 +157,81 @@
     }
 }
 
+/// A list of one kind that is applied page by page. A server on one page is of use although the next page cannot be
+/// read.
+struct Listing<'a> {
+    hub: &'a Hub,
+    kind: Kind,
+    asked_at: Moment,
+    /// Names of the listed servers.
+    names: HashSet<ServerName>,
+    /// Revision of the newest listed server.
+    newest: Option<Revision>,
+    unreadable: usize,
+}
+
+impl<'a> Listing<'a> {
+    fn new(hub: &'a Hub, kind: Kind, asked_at: Moment) -> Self {
+        Self {
+            hub,
+            kind,
+            asked_at,
+            names: HashSet::new(),
+            newest: None,
+            unreadable: 0,
+        }
+    }
+
+    /// Applies a page.
+    fn adopt(&mut self, page: &Page) {
+        let Self { hub, kind, .. } = *self;
+        hub.enter_era();
+        self.unreadable += page.unreadable;
+        match kind {
+            Kind::Servers => {
+                for object in &page.objects {
+                    hub.adopt_server(&object.name, &object.value);
+                    self.names.insert(object.name.clone());
+                    if self
+                        .newest
+                        .is_none_or(|newest| object.revision.supersedes(newest))
+                    {
+                        self.newest = Some(object.revision);
+                    }
+                }
+            }
+            Kind::Config => adopt_configs(hub, &page.objects, self.asked_at),
+            Kind::Weights => {
+                let now = clock::since_boot();
+                let unseen = hub.state.borrow().weights_feed.unseen_before(now);
+                for object in &page.objects {
+                    adopt_object(hub, kind, object, Sighting::Listed(unseen));
+                }
+            }
+        }
+    }
+
+    /// Ends the list. Servers that it lacks are removed if it is complete.
+    fn finish(self, listed: &Listed) {
+        let Self { hub, kind, .. } = self;
+        if self.unreadable > 0 {
+            log::warn!(feed = kind.as_str(), unreadable = self.unreadable;
+                "objects that cannot be read are skipped");
+        }
+        if kind == Kind::Servers && listed.complete {
+            hub.retain_servers(&self.names);
+        }
+        if let Some(newest) = self.newest {
+            record_newest_change(hub, kind, newest);
+        }
+        let mut state = hub.state.borrow_mut();
+        let feed = state.feed(kind);
+        feed.revision = listed.revision;
+        feed.loaded = true;
+        feed.record_seen(self.asked_at);
+    }
+}
+
 /// Watches and applies changes until another list is needed. Returns whether a failure is the reason.
 async fn watch(hub: &Rc<Hub>, kind: Kind, mut revision: Revision, first_wait: Duration) -> bool {
     let mut wait = first_wait;
@@ -231,44 +311,19 @@
         .min(MAX_BATCH_PAUSE)
 }
 
-/// Records the revision of an object as the feed's newest change, if it is newer.
-fn record_newest_change(hub: &Hub, kind: Kind, object: &Object) {
+/// Records the revision of a change as the feed's newest one, if it is newer.
+fn record_newest_change(hub: &Hub, kind: Kind, revision: Revision) {
     let mut state = hub.state.borrow_mut();
     let feed = state.feed(kind);
-    if object.revision.supersedes(feed.changed) {
-        feed.changed = object.revision;
-    }
-}
-
-/// Applies a complete list of one kind.
-fn adopt_list(hub: &Hub, kind: Kind, objects: &[Object], revision: Revision, asked_at: Moment) {
-    match kind {
-        Kind::Servers => {
-            hub.replace_servers(objects.iter().map(|object| (&object.name, &*object.value)));
-            for object in objects {
-                record_newest_change(hub, kind, object);
-            }
-        }
-        Kind::Config => adopt_configs(hub, objects, asked_at),
-        Kind::Weights => {
-            let now = clock::since_boot();
-            let unseen = hub.state.borrow().weights_feed.unseen_before(now);
-            for object in objects {
-                adopt_object(hub, kind, object, Sighting::Listed(unseen));
-            }
-        }
+    if revision.supersedes(feed.changed) {
+        feed.changed = revision;
     }
-    let mut state = hub.state.borrow_mut();
-    let feed = state.feed(kind);
-    feed.revision = revision;
-    feed.loaded = true;
-    feed.record_seen(asked_at);
 }
 
 /// Applies a list of configurations. It confirms that no newer configuration was in force at the time of the call.
 fn adopt_configs(hub: &Hub, objects: &[Object], asked_at: Moment) {
     for object in objects.iter().filter(|object| is_config(&object.name)) {
-        record_newest_change(hub, Kind::Config, object);
+        record_newest_change(hub, Kind::Config, object.revision);
         if let Some(version) = hub.adopt_config(&object.value, "store") {
             hub.state.borrow_mut().confirm_config(version, asked_at);
         }
@@ -301,13 +356,10 @@
             continue;
         }
         let asked_at = clock::since_boot();
-        match hub
-            .store
-            .list(&hub.metrics, Kind::Config.store_kind())
-            .await
-        {
-            Ok(page) => adopt_configs(&hub, &page.objects, asked_at),
-            Err(error) => log::debug!("the configuration cannot be confirmed: {error}"),
+        let adopt = |page: &Page| adopt_configs(&hub, &page.objects, asked_at);
+        let kind = Kind::Config.store_kind();
+        if let Err(error) = hub.store.list(&hub.metrics, kind, adopt).await {
+            log::debug!("the configuration cannot be confirmed: {error}");
         }
     }
 }
@@ -325,7 +377,7 @@
 
 /// Applies an object. The sighting tells how this host learned of it, which decides the age of named weights.
 fn adopt_object(hub: &Hub, kind: Kind, object: &Object, sighting: Sighting) {
-    record_newest_change(hub, kind, object);
+    record_newest_change(hub, kind, object.revision);
     match kind {
         Kind::Config if is_config(&object.name) => {
             hub.adopt_config(&object.value, "store");
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -433,7 +433,12 @@
             listed.insert(name.clone());
             self.adopt_server(name, text);
         }
-        let absent = self.state.borrow().directory.absent(&listed);
+        self.retain_servers(&listed);
+    }
+
+    /// Removes the servers that a complete list lacks.
+    pub(crate) fn retain_servers(&self, listed: &HashSet<ServerName>) {
+        let absent = self.state.borrow().directory.absent(listed);
         for name in absent {
             self.remove_server(&name);
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,9 +3,10 @@
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use hashbrown::HashSet;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
-use jaystand_adapter::store::{self, Call, Changes, Page, Verdict};
+use jaystand_adapter::store::{self, Call, Changes, Next, Page, Verdict};
 use jaystand_dispatch::{
     lease::{Record, Written},
     revision::Revision,
@@ -33,6 +34,8 @@
 /// Largest accepted answer. Lists have about 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Largest number of pages of a list. A page has 500 objects, or fewer if they are large.
+const MAX_PAGES: usize = 1_000;
 /// Largest number of failed page calls in one list before the list starts anew.
 const MAX_PAGE_FAILURES: u32 = 4;
 /// Pause before a page is asked for again, multiplied by the number of failures.
@@ -66,6 +69,15 @@
     era: watch::Sender<Era>,
 }
 
+/// The result of a list.
+#[derive(Debug)]
+pub(crate) struct Listed {
+    /// Revision of the first page, from which changes are to be watched.
+    pub(crate) revision: Revision,
+    /// Whether all objects were read.
+    pub(crate) complete: bool,
+}
+
 /// A complete answer of the store.
 struct Answer {
     era: Era,
@@ -113,30 +125,50 @@
             .map(|_| ())
     }
 
-    /// Lists all objects of a kind. The revision is that of the first page, from which changes are to be watched.
-    pub(crate) async fn list(&self, metrics: &Metrics, kind: &str) -> Result<Page, Error> {
-        let mut all = self.page(metrics, kind, None).await?;
+    /// Lists the objects of a kind and passes on each page, so that a long list takes the memory of one page only.
+    pub(crate) async fn list(
+        &self,
+        metrics: &Metrics,
+        kind: &str,
+        mut adopt: impl FnMut(&Page),
+    ) -> Result<Listed, Error> {
+        let mut page = self.page(metrics, kind, None).await?;
+        let revision = page.revision;
+        let mut asked = HashSet::new();
         let mut failures = 0;
-        while let Some(after) = &all.next_after {
-            match self.page(metrics, kind, Some(after)).await {
-                Ok(page) if page.revision.era() != all.revision.era() => {
-                    return Err(Error::OtherEra);
+        loop {
+            adopt(&page);
+            let after = match page.next {
+                Next::End => {
+                    let complete = true;
+                    return Ok(Listed { revision, complete });
                 }
-                Ok(mut page) => {
-                    all.objects.append(&mut page.objects);
-                    all.unreadable += page.unreadable;
-                    all.next_after = page.next_after;
+                Next::After(name) if asked.len() < MAX_PAGES && asked.insert(name.clone()) => name,
+                Next::After(_) | Next::Unknown => {
+                    log::warn!(kind, pages = asked.len() + 1;
+                        "the list does not advance; what follows is unknown");
+                    let complete = false;
+                    return Ok(Listed { revision, complete });
                 }
-                // Earlier pages are not asked for again, which would slow down a store that lacks bandwidth.
-                Err(error @ (Error::Refused | Error::Unknown)) if failures < MAX_PAGE_FAILURES => {
-                    failures += 1;
-                    log::info!(kind, failures; "a page of a list failed, asking for it again: {error}");
-                    sleep(PAGE_RETRY_PAUSE * failures).await;
+            };
+            page = loop {
+                match self.page(metrics, kind, Some(&after)).await {
+                    Ok(page) if page.revision.era() != revision.era() => {
+                        return Err(Error::OtherEra);
+                    }
+                    Ok(page) => break page,
+                    // Earlier pages are not asked for again, which would slow down a store that lacks bandwidth.
+                    Err(error @ (Error::Refused | Error::Unknown))
+                        if failures < MAX_PAGE_FAILURES =>
+                    {
+                        failures += 1;
+                        log::info!(kind, failures; "a page of a list failed, asking for it again: {error}");
+                        sleep(PAGE_RETRY_PAUSE * failures).await;
+                    }
+                    Err(error) => return Err(error),
                 }
-                Err(error) => return Err(error),
-            }
+            };
         }
-        Ok(all)
     }
 
     /// Reads one page of the objects of a kind: the first one, or the one after a name.
