--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -415,7 +415,12 @@
     /// it is sent again.
     async fn send(&mut self, mut pooled: Pooled, ticket: Ticket, choice: Choice) -> Option<Answer> {
         let server = choice.server;
-        let request = self.request_for_server(&choice)?;
+        let Some(request) = self.request_for_server(&choice) else {
+            self.tried.push(server);
+            self.unreachable += 1;
+            self.hub.return_connection(pooled, None).await;
+            return None;
+        };
         let origin = if pooled.reused { "reused" } else { "new" };
         let connections = &self.hub.metrics.connections;
         connections
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use jaystand_adapter::engine::{self, Order, Reply, Report};
 use jaystand_dispatch::{
@@ -516,10 +516,13 @@
         hub.return_connection(pooled, None).await;
         return Err(Error::NotSent);
     }
-    let headers = engine::headers(name, &address.to_string()).unwrap_or_else(|error| {
-        log::error!(server = name; "cannot build a call: {error}");
-        HeaderMap::new()
-    });
+    let headers = match engine::headers(name, &address.to_string()) {
+        Ok(headers) => headers,
+        Err(error) => {
+            log::error!(server = name; "cannot build a call: {error}");
+            return Err(Error::NotSent);
+        }
+    };
     hub.take_call(server, purpose);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
