Keep weights of unknown models out of reports between hosts

While entries of another writer stood among these, hosts could not read each other's reports, so that each took the others for gone.

Cause: every named model became part of every report, whatever its name, and a host reads reports of up to 8,192 bytes.

Change: an entry names weights only under the name of its model, as the platform writes it, and reports name the models that some known server serves.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -482,6 +482,13 @@
         self.servers.values()
     }
 
+    /// Returns whether a server serves some version of a model.
+    #[must_use]
+    pub fn has_model(&self, model: &str) -> bool {
+        self.iter()
+            .any(|server| server.entry.version(model).is_some())
+    }
+
     /// Returns the number of servers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -384,7 +384,7 @@
         }
         Kind::Config => {}
         Kind::Servers => hub.adopt_server(&object.name, &object.value),
-        Kind::Weights => match entry::weights(object.value.get().as_bytes()) {
+        Kind::Weights => match entry::weights(&object.name, object.value.get().as_bytes()) {
             Ok((model, version)) => hub.record_named_weights(&model, version, sighting, "store"),
             Err(error) => {
                 log::warn!(name = object.name.as_str(); "named weights cannot be read: {error}");
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -345,6 +345,7 @@
         weights: state
             .versions
             .ages(now)
+            .filter(|(model, ..)| state.directory.has_model(model))
             .map(|(model, version, age)| WeightsEntry {
                 model: model.to_string(),
                 version,
