Forward no answer with an invalid status

Callers saw: an answer of a server in trouble whose status was 600, 999 or 101 as an answer of their own. A 101 ends HTTP on the caller's connection, which nobody asked for. With X-Not-Executed such an answer passed for the proof that the request had not run (503).

Cause: the HTTP library reads all statuses from 100 to 999, and nothing after it asked whether the number is a status.

Change: an answer whose status is not from 200 to 599 (RFC 9110, section 15) counts as broken, whatever else its head says: its connection is closed, and the caller gets 502 if no other server may run the request.

Evidence: two of the new tests fail with the former code: /read/ reused: false, "HTTP/1.1 101 OK...: Answer { status: 101, ... /ask/ reused: false, "HTTP/1.1 101 OK... x-not-executed: 1...: Answer { status: 503, ... The statuses 000, 099, 20, 2000, 2x0 and -20 were refused before, and so were heads, interim answers and trailers with a field name that holds a blank or a control byte, or with a line that is no field; their tests passed at once.

Measured: the four tests of platform/tests/answers.rs pass.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -32,6 +32,13 @@
         head: &response::Head,
         reused: bool,
     ) -> Verdict {
+        if !response::is_final(head.status) {
+            self.record_failure(server, Outcome::Broken);
+            self.hub.pool.close_idle(server);
+            log::warn!(request = self.id.as_str(), server = self.server_name.as_str(),
+                status = head.status.as_u16(); "the answer has an invalid status; connection closed");
+            return Verdict::Discard;
+        }
         if head.identity == Identity::Other {
             self.record_failure(server, Outcome::Broken);
             self.hub.pool.close_idle(server);
