Reset the connection of an HTTP/1.0 caller whose stream breaks off

Callers saw: with HTTP/1.0, a stream that its server broke off as a complete answer, for example after a 200 without a length to an upload whose connection is reset while the upload is being written.

Cause: such a caller knows the end of a stream only by the end of the connection, and that was closed in the same way after a whole stream and after a part of one.

Change: while an answer that ends with its connection is under way, closing the socket resets it, whatever closes it (the end of the process too). The HTTP library's orderly shutdown at the end of a whole answer undoes that.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -20,6 +20,8 @@
     time::Instant,
 };
 
+use crate::socket;
+
 /// A connection is closed if its client accepts no byte of an answer for this long. Servers cut off answers that stay
 /// unread for some seconds, so the gateway cancels them before.
 pub(crate) const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -146,6 +148,8 @@
     blocked_since: Cell<Option<Instant>>,
     /// Whether the HTTP library has taken the whole answer. It may still hold unwritten bytes.
     answer_taken: Cell<bool>,
+    /// Whether the end of the connection is the only sign of the end of the answer.
+    close_delimited: Cell<bool>,
     shed: Cell<Option<Shed>>,
     /// Whether a body was being read when the connection was shed.
     owes_answer: Cell<bool>,
@@ -208,6 +212,7 @@
             body_bytes: Cell::new(0),
             blocked_since: Cell::new(None),
             answer_taken: Cell::new(false),
+            close_delimited: Cell::new(false),
             shed: Cell::new(None),
             owes_answer: Cell::new(false),
             shed_now: Notify::new(),
@@ -343,6 +348,12 @@
         }
     }
 
+    /// Records that the end of the connection is the only sign of the end of the answer. From then on the connection is
+    /// reset if it closes before the HTTP library shuts it down, so that a part of the answer does not look complete.
+    pub(crate) fn set_close_delimited(&self) {
+        self.close_delimited.set(true);
+    }
+
     /// Records that the HTTP library has taken the whole answer.
     pub(crate) fn finish_answer(&self) {
         self.answer_taken.set(true);
@@ -408,6 +419,8 @@
 pub(crate) struct Stream {
     tcp: TcpStream,
     connection: Rc<Connection>,
+    /// Whether the socket is reset when it closes.
+    resets: bool,
 }
 
 impl Stream {
@@ -415,7 +428,22 @@
         Self {
             tcp,
             connection: Rc::clone(connection),
+            resets: false,
+        }
+    }
+
+    /// Sets whether the socket is reset when it closes, also if the process is killed.
+    fn set_resets(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets != resets {
+            socket::set_reset_on_close(&self.tcp, resets)?;
+            self.resets = resets;
         }
+        Ok(())
+    }
+
+    /// Prepares the socket for a part of an answer.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        self.set_resets(self.connection.close_delimited.get())
     }
 }
 
@@ -440,6 +468,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         let result = Pin::new(&mut self.tcp).poll_write(context, bytes);
         self.connection.record_write(result.is_pending());
         result
@@ -454,6 +483,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_resets(false)?;
         Pin::new(&mut self.tcp).poll_shutdown(context)
     }
 
@@ -462,6 +492,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         let result = Pin::new(&mut self.tcp).poll_write_vectored(context, slices);
         self.connection.record_write(result.is_pending());
         result
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,8 +2,12 @@
 
 use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jaystand_adapter::request::READINESS_PATH;
 use tokio::{
@@ -177,8 +181,12 @@
     request: Request<Incoming>,
 ) -> Result<Response<Tracked>, Infallible> {
     connection.begin_request().await;
+    let takes_chunks = request.version() >= Version::HTTP_11;
     let response = call::serve(Rc::clone(&hub), Rc::clone(&connection), request).await;
     connection.begin_answer();
+    if !takes_chunks && response.body().size_hint().exact().is_none() {
+        connection.set_close_delimited();
+    }
     let mut response = response.map(|reply| Tracked::new(reply, &connection));
     if hub.is_stopping() || connection.shed_reason().is_some() {
         let close = HeaderValue::from_static("close");
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -30,6 +30,12 @@
     Ok(())
 }
 
+/// Sets whether the connection is reset when it closes, so that its peer does not take that for an orderly end.
+pub(crate) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    sockopt::set_socket_linger(stream, resets.then_some(Duration::ZERO))?;
+    Ok(())
+}
+
 /// Sets the options of an open connection: no delay, keep-alive and the timeout for acknowledgements.
 pub(crate) fn prepare(stream: &TcpStream, ack_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
