Count unfinished events towards the memory of all bodies

Callers saw: the end of the process, when servers sent events without end to many requests at once. The requests of all other callers on that host ended with it.

Cause: the unfinished event of each stream is bounded at 256 KiB, but nothing bounded all of them together, and the buffers for one event take up to a megabyte while they grow.

Change: buffers of a stream that take over 16 KiB count towards the limit that all bodies share, a quarter of the host's memory. If that is used up, the answer counts as broken, as an event that exceeds its own bound does; the server is not suspected of a crash.

--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -1,4 +1,4 @@
-//! Reads whole bodies within a common limit on their memory.
+//! Reads whole bodies, and counts unfinished events of streams, within a common limit on their memory.
 //!
 //! Each body has a limit of its own, but many at once could still fill the memory of a small host, for example when
 //! servers answer with endless bodies. What counts is the memory that a body takes, not the bytes received: while a
@@ -58,14 +58,13 @@
 /// A body whose memory counts as used until it is dropped.
 struct Buffer {
     bytes: Vec<u8>,
-    used_bytes: Arc<AtomicUsize>,
+    buffers: Buffers,
     counted_bytes: usize,
 }
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        self.used_bytes
-            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+        self.buffers.give_back(self.counted_bytes);
     }
 }
 
@@ -75,6 +74,34 @@
     }
 }
 
+/// Memory that is taken elsewhere, and counts as used until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Share {
+    buffers: Buffers,
+    counted_bytes: usize,
+}
+
+impl Share {
+    /// Counts so many bytes from now on. Fails if these are more than before and too much memory is used already.
+    pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), Error> {
+        if let Some(added) = bytes.checked_sub(self.counted_bytes) {
+            if added > 0 && !self.buffers.try_take(added, bytes) {
+                return Err(Error::Full);
+            }
+        } else {
+            self.buffers.give_back(self.counted_bytes - bytes);
+        }
+        self.counted_bytes = bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.buffers.give_back(self.counted_bytes);
+    }
+}
+
 /// The caller's connection on which a body arrives.
 #[derive(Clone, Copy)]
 pub(crate) struct Source<'a> {
@@ -91,6 +118,14 @@
         }
     }
 
+    /// Returns a share of the memory that counts no bytes yet.
+    pub(crate) fn share(&self) -> Share {
+        Share {
+            buffers: self.clone(),
+            counted_bytes: 0,
+        }
+    }
+
     /// Returns the memory that bodies take.
     pub(crate) fn used_bytes(&self) -> usize {
         self.used_bytes.load(Ordering::Relaxed)
@@ -111,7 +146,7 @@
         }
         let mut buffer = Buffer {
             bytes: Vec::new(),
-            used_bytes: Arc::clone(&self.used_bytes),
+            buffers: self.clone(),
             counted_bytes: 0,
         };
         let shed = async {
@@ -160,7 +195,7 @@
         source: Option<Source<'_>>,
     ) -> Result<(), Error> {
         let mut yields = 0;
-        while !self.try_take(capacity) {
+        while !self.try_take(capacity, capacity) {
             let Some(source) = source else {
                 return Err(Error::Full);
             };
@@ -176,15 +211,18 @@
         bytes.extend_from_slice(&buffer.bytes);
         let former = std::mem::replace(&mut buffer.bytes, bytes);
         drop(former);
-        self.used_bytes
-            .fetch_sub(buffer.counted_bytes, Ordering::Relaxed);
+        self.give_back(buffer.counted_bytes);
         buffer.counted_bytes = capacity;
         Ok(())
     }
 
-    /// Counts memory as used if there is enough.
-    fn try_take(&self, bytes: usize) -> bool {
-        let max_bytes = if bytes <= SMALL_BODY_BYTES {
+    fn give_back(&self, bytes: usize) {
+        self.used_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts memory as used if there is enough for a body that takes `total` bytes with it.
+    fn try_take(&self, bytes: usize, total: usize) -> bool {
+        let max_bytes = if total <= SMALL_BODY_BYTES {
             self.max_bytes
         } else {
             self.max_bytes - self.max_bytes / SMALL_SHARE_DIVISOR
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -64,6 +64,11 @@
         self.buffer.len()
     }
 
+    /// Returns the memory that the buffer takes.
+    pub(crate) fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether no bytes are buffered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
+    buffer::{self, Share},
     call::{Answer, Call, build_response},
     events::{EVENT_END, Splitter},
     meter::MeteredBody,
@@ -29,6 +30,8 @@
 
 /// Largest event. Events of the deployments have some hundred bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Memory of a stream's buffers that does not count towards the memory of all bodies. Whole events need no more.
+const UNCOUNTED_BYTES: usize = 16 << 10;
 
 /// How one server's segment of a stream ended.
 enum End {
@@ -74,9 +77,10 @@
     let whole_event = call.route.repeatable();
     let first = timeout(
         call.attempt_timeout(),
-        read_first_chunk(&mut answer.body, whole_event),
+        read_first_chunk(&mut answer.body, whole_event, call.hub.buffers.share()),
     )
     .await;
+    let is_full = matches!(first, Ok(Some(Err(Error::Memory(_)))));
     let (outcome, reason) = match first {
         Ok(Some(Ok(first))) => return Some(first),
         Ok(Some(Err(error))) => (Outcome::Broken, format!("it broke: {error}")),
@@ -84,7 +88,7 @@
         Err(_) => (Outcome::Silent, "none in time".to_owned()),
     };
     call.record_outcome(answer.pooled.server, outcome);
-    if outcome == Outcome::Broken {
+    if outcome == Outcome::Broken && !is_full {
         call.record_crash(answer.pooled.server);
     }
     log::info!(request = call.id.as_str(), server = call.server_name(), parts = call.part_ids(),
@@ -190,6 +194,8 @@
     tail: [u8; 2],
     /// Bytes that were read while another server was being tried.
     read_ahead: BytesMut,
+    /// Memory of the buffers.
+    memory: Share,
     /// When the last chunk was received.
     last_chunk: Moment,
 }
@@ -204,6 +210,7 @@
             splitter: Splitter::default(),
             tail: EVENT_END,
             read_ahead: BytesMut::new(),
+            memory: call.hub.buffers.share(),
             last_chunk: call.hub.now(),
         }
     }
@@ -276,6 +283,11 @@
                         bytes = self.splitter.pending(); "an event without end; connection closed");
                     return End::Endless;
                 }
+                if let Err(error) = count(&mut self.memory, self.splitter.capacity()) {
+                    log::warn!(request = call.id.as_str(), server = call.server_name(),
+                        bytes = self.splitter.pending(); "an unfinished event is dropped: {error}");
+                    return End::Endless;
+                }
             } else {
                 self.tail = match *bytes {
                     [.., first, last] => [first, last],
@@ -313,7 +325,10 @@
                     return true;
                 }
             }
-            if self.read_ahead.len() > MAX_EVENT_BYTES {
+            let capacity = self.read_ahead.capacity() + splitter.capacity();
+            let capacity = capacity + self.splitter.capacity();
+            if self.read_ahead.len() > MAX_EVENT_BYTES || count(&mut self.memory, capacity).is_err()
+            {
                 return false;
             }
         }
@@ -454,6 +469,7 @@
 async fn read_first_chunk(
     body: &mut MeteredBody,
     whole_event: bool,
+    mut memory: Share,
 ) -> Option<Result<Bytes, Error>> {
     let mut chunks = BytesMut::new();
     let mut splitter = Splitter::default();
@@ -475,9 +491,17 @@
         if chunks.len() > MAX_EVENT_BYTES {
             return Some(Err(Error::NoEvent(chunks.len())));
         }
+        if let Err(error) = count(&mut memory, chunks.capacity() + splitter.capacity()) {
+            return Some(Err(Error::Memory(error)));
+        }
     }
 }
 
+/// Counts the memory of a stream's buffers towards that of all bodies, if it is more than whole events need.
+fn count(memory: &mut Share, bytes: usize) -> Result<(), buffer::Error> {
+    memory.resize(if bytes > UNCOUNTED_BYTES { bytes } else { 0 })
+}
+
 /// Why the first chunk of a stream could not be read.
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -485,6 +509,8 @@
     Broken(hyper::Error),
     #[error("{0} bytes without a whole event")]
     NoEvent(usize),
+    #[error("{0}")]
+    Memory(buffer::Error),
 }
 
 /// Reads the next chunk of a body that is not empty. Returns `None` at the end of the body.
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -304,15 +304,6 @@
         sent
     }
 
-    fn peak_memory_kb(&mut self) -> u64 {
-        let path = format!("/proc/{}/status", self.process.id());
-        let text = std::fs::read_to_string(path).expect("the process lives");
-        let line = text.lines().find(|line| line.starts_with("VmHWM:"));
-        let line = line.expect("the peak of the resident memory");
-        let number = line.split_whitespace().nth(1).expect("a number");
-        number.parse().expect("a number")
-    }
-
     fn descriptors(&mut self) -> usize {
         let path = format!("/proc/{}/fd", self.process.id());
         std::fs::read_dir(path).expect("the process lives").count()
@@ -396,7 +387,7 @@
     async fn observe(&self, name: &str, broken: &mut Vec<String>) {
         let count = self.count;
         let mut gateway = Gateway::start(self.max_descriptors).await;
-        let idle_kb = gateway.peak_memory_kb();
+        let idle_kb = gateway.process.peak_memory_kb();
         let (_clients, mut sent) = self.connect(self.target.address(&gateway.fixture));
         let mut until = Instant::now() + CROWD_TIME;
         let mut all_sent = false;
@@ -423,7 +414,7 @@
             return;
         }
         descriptors = descriptors.max(gateway.descriptors());
-        let peak_kb = gateway.peak_memory_kb();
+        let peak_kb = gateway.process.peak_memory_kb();
         eprintln!(
             "{name}: {count} clients, idle {idle_kb} kB, peak {peak_kb} kB, \
              {descriptors} descriptors, served after {served:?} tries"
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -169,6 +169,16 @@
         self.child().id()
     }
 
+    /// Returns the peak of the resident memory.
+    pub fn peak_memory_kb(&mut self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let text = std::fs::read_to_string(path).expect("the process lives");
+        let line = text.lines().find(|line| line.starts_with("VmHWM:"));
+        let line = line.expect("the peak of the resident memory");
+        let number = line.split_whitespace().nth(1).expect("a number");
+        number.parse().expect("a number")
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child().try_wait().expect("a child").is_some()
