Count answers to the host's own calls towards a common limit on memory

Callers saw: the end of the process, when servers answered the host's own calls (events of kept parts, reports, orders) with bytes without end.

Cause: such an answer was bounded by itself only, at up to 4 MiB for each of up to 24 engines, and was held twice at its end. Answers of the store and of other hosts, of up to 8 MiB, had no common bound either.

Change: answers of servers count towards the limit of all bodies. Those of the store and of other hosts have a limit of their own, of the same size, so that bodies of callers and servers do not displace them. A body that cannot be read is logged with the reason.

--- a/crates/gateway/src/copy.rs
+++ b/crates/gateway/src/copy.rs
@@ -418,7 +418,7 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let answer = connection
-            .exchange(request, MAX_COPY_BYTES)
+            .exchange(request, &hub.inner_buffers, MAX_COPY_BYTES)
             .await
             .map_err(std::io::Error::other)?;
         let body = answer.into_body();
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -69,7 +69,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Pool,
     pub(crate) store: Store,
+    /// Memory for bodies of callers and servers.
     pub(crate) buffers: Buffers,
+    /// Memory for answers of the store and of other hosts, which those bodies must not displace.
+    pub(crate) inner_buffers: Buffers,
     /// Requests that wait until a server has capacity.
     pub(crate) waiting: Waiting,
     pub(crate) accounts: Accounts,
@@ -277,9 +280,11 @@
         };
         let timer = Timer::new();
         let relays = Relays::new(settings.listen.front.ip(), settings.link_mbps, timer.now());
+        let inner_buffers = Buffers::new(settings.buffer_bytes);
         Self {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, inner_buffers.clone()),
             buffers: Buffers::new(settings.buffer_bytes),
+            inner_buffers,
             waiting: Waiting::new(settings.buffer_bytes),
             accounts: Accounts::new(settings.caller_connections),
             unread_bytes: Arc::default(),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response,
     client::conn::http1::{self, SendRequest},
@@ -12,6 +12,7 @@
 use tokio::{task::JoinHandle, time::timeout};
 
 use crate::{
+    buffer::Buffers,
     meter::{Meter, MeteredBody},
     socket,
 };
@@ -94,19 +95,20 @@
         }
     }
 
-    /// Sends a request and reads its answer to the end. The body is `None` if it is longer than `max_bytes` or breaks
-    /// off; the head of such an answer is still valid.
+    /// Sends a request and reads its answer to the end. The body is `None` if it is longer than `max_bytes`, breaks off
+    /// or finds no memory; the head of such an answer is still valid.
     pub(crate) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        buffers: &Buffers,
         max_bytes: usize,
     ) -> Result<Response<Option<Bytes>>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
-        Ok(Response::from_parts(
-            head,
-            body.ok().map(Collected::to_bytes),
-        ))
+        let body = buffers.collect(body, max_bytes, None).await;
+        let body = body
+            .inspect_err(|error| log::info!("the body of an answer cannot be read: {error}"))
+            .ok();
+        Ok(Response::from_parts(head, body))
     }
 
     /// Returns whether a request can be sent now.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -147,7 +147,8 @@
         *connection = Some(open);
         return Err(link::Error::NotSent);
     }
-    let answer = timeout(ANSWER_TIMEOUT, open.exchange(request, MAX_ANSWER_BYTES))
+    let exchange = open.exchange(request, &hub.buffers, MAX_ANSWER_BYTES);
+    let answer = timeout(ANSWER_TIMEOUT, exchange)
         .await
         .map_err(|_| link::Error::Timeout)??;
     let status = answer.status();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -528,12 +528,9 @@
     *request.method_mut() = method;
     *request.uri_mut() = http::Uri::from_static(path);
     *request.headers_mut() = headers;
-    match timeout(
-        ANSWER_TIMEOUT,
-        pooled.connection.exchange(request, MAX_REPORT_BYTES),
-    )
-    .await
-    {
+    let connection = &mut pooled.connection;
+    let exchange = connection.exchange(request, &hub.buffers, MAX_REPORT_BYTES);
+    match timeout(ANSWER_TIMEOUT, exchange).await {
         Ok(Ok(answer)) => {
             let status = answer.status();
             hub.observe_response_head(server, name, status, answer.headers(), Origin::Unnamed);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    buffer::Buffers,
     link::{self, Connection},
     metrics::Metrics,
 };
@@ -64,6 +65,7 @@
 /// The client. Each call uses an idle connection or opens one, so calls don't wait for the answer of a watch.
 pub(crate) struct Store {
     address: SocketAddr,
+    buffers: Buffers,
     idle: RefCell<Vec<Connection>>,
     /// The latest known era; 0 while the store has named none.
     era: watch::Sender<Era>,
@@ -86,9 +88,11 @@
 }
 
 impl Store {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// Creates a client that reads answers within these buffers.
+    pub(crate) fn new(address: SocketAddr, buffers: Buffers) -> Self {
         Self {
             address,
+            buffers,
             idle: RefCell::default(),
             era: watch::Sender::default(),
         }
@@ -286,7 +290,7 @@
         let mut connection = self.open().await?;
         let exchange = async {
             let answer = connection
-                .exchange(self.build_request(call)?, MAX_ANSWER_BYTES)
+                .exchange(self.build_request(call)?, &self.buffers, MAX_ANSWER_BYTES)
                 .await;
             let answer = answer.map_err(|fault| match fault {
                 link::Error::NotSent => Error::Refused,
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -39,7 +39,7 @@
 const STALL_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of an event, and of an answer to a call of the host itself, that are just below the bounds.
 const MAX_EVENT_BYTES: usize = 250_000;
-const MAX_CALL_BYTES: usize = 900_000;
+const MAX_CALL_BYTES: usize = 4_000_000;
 
 /// What follows the status line and the id of an answer, and what is repeated without end after it.
 const FLOODS: [(&str, &str); 9] = [
@@ -177,7 +177,7 @@
                     (Pace::Stalling, Ok(_)) => MAX_EVENT_BYTES,
                     (Pace::Stalling, Err(_)) => MAX_CALL_BYTES,
                 };
-                let kind = kind.unwrap_or(4);
+                let kind = kind.unwrap_or(3);
                 let (beginning, repeated): (&str, &str) = FLOODS[kind];
                 let id = received.id();
                 let head = format!(
