Leave room for endless answers of the store beside those of servers

Callers saw: the end of the process on a host of 88 MB, when servers, the store and another host sent bytes without end at the same time.

Cause: the limits of bodies, of answers of the store and of connections together exceeded the memory. A connection to a server had a read buffer of up to 64 KiB, which any server can fill.

Answers of the store and of other hosts share an eighth of the memory, 11 MB on the smallest host, which holds pages of up to 4 MiB; the platform's have about 1 MB.

Evidence: the tests of crates/gateway/tests/endless.rs now have a store that turns endless, another host that answers with an endless copy, and 576 instead of 240 stalled streams.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -280,7 +280,7 @@
         };
         let timer = Timer::new();
         let relays = Relays::new(settings.listen.front.ip(), settings.link_mbps, timer.now());
-        let inner_buffers = Buffers::new(settings.buffer_bytes);
+        let inner_buffers = Buffers::new(settings.inner_buffer_bytes);
         Self {
             store: Store::new(settings.store, inner_buffers.clone()),
             buffers: Buffers::new(settings.buffer_bytes),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -22,7 +22,7 @@
 const REUSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Size of a connection's read buffer, which also limits the head of an answer. hyper's default is 400 KB.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// An open connection. Dropping it closes it at once, even during a request.
 pub(crate) struct Connection {
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -19,7 +19,7 @@
 };
 
 /// Bytes that may be read between two frames of an answer, where its head counts as a frame. The library itself buffers
-/// up to 64 KB of them.
+/// up to 32 KB of them.
 const MAX_GAP_BYTES: usize = 256 << 10;
 
 /// Counter of the bytes that were read since the last frame.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
 /// Buffered bodies may take a host's memory divided by this. The process itself takes 5 to 13 MB, and connections take
 /// as much again as the bodies on them.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
+/// Answers of the store and of other hosts may take a host's memory divided by this. A page of a list has up to 1 MB.
+const INNER_BUFFER_MEMORY_DIVISOR: usize = 8;
 /// Callers' connections may take a host's memory divided by this, at `CONNECTION_BYTES` each.
 const CONNECTION_MEMORY_DIVISOR: usize = 3;
 /// Memory of a caller's connection without bodies: the HTTP library's read and write buffers of 8 KB each, and the
@@ -189,8 +191,10 @@
     pub(crate) revocation: Option<Duration>,
     /// The host's link, in Mbit/s.
     pub(crate) link_mbps: u32,
-    /// Memory for bodies that are read as a whole, in bytes.
+    /// Memory for bodies of callers and servers, in bytes.
     pub(crate) buffer_bytes: usize,
+    /// Memory for answers of the store and of other hosts, in bytes.
+    pub(crate) inner_buffer_bytes: usize,
     /// Callers' connections that may be open at once.
     pub(crate) caller_connections: usize,
     pub(crate) log_level: LevelFilter,
@@ -299,6 +303,7 @@
             store: document.store.address,
             link_mbps: link_mbps(document.limits.link_mbps.unwrap_or(DEFAULT_LINK_MBPS)),
             buffer_bytes: memory_bytes / BUFFER_MEMORY_DIVISOR,
+            inner_buffer_bytes: memory_bytes / INNER_BUFFER_MEMORY_DIVISOR,
             caller_connections: caller_connections(&document.limits, memory_bytes),
             log_level: document.log.level.unwrap_or(LevelFilter::Info),
             log_lines: document.log.lines_per_s.unwrap_or(DEFAULT_LOG_LINES_PER_S),
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -16,8 +16,9 @@
 };
 use support::{Fixture, Process, request};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::watch,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -37,8 +38,9 @@
 const PIECE_BYTES: usize = 4_096;
 /// Pause between the bytes of an answer that has stalled.
 const STALL_PAUSE: Duration = Duration::from_millis(50);
-/// Bytes of an event, and of an answer to a call of the host itself, that are just below the bounds.
+/// Bytes of an event, of a head, and of an answer to a call of the host itself, that are just below the bounds.
 const MAX_EVENT_BYTES: usize = 250_000;
+const MAX_HEAD_BYTES: usize = 15_000;
 const MAX_CALL_BYTES: usize = 4_000_000;
 
 /// What follows the status line and the id of an answer, and what is repeated without end after it.
@@ -174,6 +176,7 @@
                 let kind = path.rsplit('/').next()?.parse();
                 let stall_after = match (pace, &kind) {
                     (Pace::Fast, _) => usize::MAX,
+                    (Pace::Stalling, Ok(0 | 1)) => MAX_HEAD_BYTES,
                     (Pace::Stalling, Ok(_)) => MAX_EVENT_BYTES,
                     (Pace::Stalling, Err(_)) => MAX_CALL_BYTES,
                 };
@@ -189,6 +192,56 @@
     });
 }
 
+/// Passes calls on to a store until the switch is set. Then it cuts all connections and answers each call with a body
+/// without end.
+async fn serve_store(address: SocketAddr, store: SocketAddr, pace: Pace) -> watch::Sender<bool> {
+    let listener = TcpListener::bind(address).await.expect("a free address");
+    let switch = watch::Sender::new(false);
+    let endless = switch.subscribe();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut endless = endless.clone();
+            tokio::spawn(async move {
+                if !*endless.borrow() {
+                    let mut store = TcpStream::connect(store).await.ok()?;
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut stream, &mut store) => {}
+                        _ = endless.wait_for(|endless| *endless) => {}
+                    }
+                    return None;
+                }
+                read_request(&mut stream, &mut Vec::new()).await?;
+                let stall_after = match pace {
+                    Pace::Fast => usize::MAX,
+                    Pace::Stalling => 2 * MAX_CALL_BYTES,
+                };
+                let head = "HTTP/1.1 200 OK\r\nstore-era: 1\r\n\r\n{\"items\":[\"";
+                send_without_end(&mut stream, head, "xxxxxxxxxxxxxxxx", stall_after).await
+            });
+        }
+    });
+    switch
+}
+
+/// Starts another host that reports a newer configuration, and answers each call for it with a copy without end.
+async fn serve_peer(fixture: &Fixture, pace: Pace) {
+    let std::net::IpAddr::V4(ip) = fixture.copies().ip() else {
+        unreachable!("fixtures have IPv4 addresses");
+    };
+    let [a, b, c, d] = ip.octets();
+    let peer = SocketAddr::from(([a, b, c, d + 100], fixture.copies().port()));
+    flood(peer, pace).await;
+    let socket = UdpSocket::bind(peer).await.expect("a free address");
+    let copies = fixture.copies();
+    tokio::spawn(async move {
+        // Incarnation 7, version 100, connected to the store, data centre `a`.
+        let report = b"\x09\x07\0\0\0\0\0\0\0\x10\x64\x20\x01\x5a\x01a";
+        while socket.send_to(report, copies).await.is_ok() {
+            sleep(RETRY_PAUSE).await;
+        }
+    });
+}
+
 /// Sends bytes until the connection is closed: some as fast as they are read, and the others slowly.
 async fn send_without_end(
     stream: &mut TcpStream,
@@ -234,7 +287,8 @@
     }
 }
 
-/// Sends requests of these kinds on both routes of streams to engines that send bytes without end.
+/// Sends requests of these kinds on both routes of streams to engines that send bytes without end, while the store and
+/// another host do the same.
 async fn check_engines(
     what: &str,
     number: u8,
@@ -244,7 +298,10 @@
 ) {
     let limits = format!("memory_mb = {MEMORY_MB}");
     let fixture = Fixture::with_limits(number, "grace_s = 2.0", &limits);
-    let store = Store::start(fixture.store()).await;
+    let mut store_address = fixture.store();
+    store_address.set_port(fixture.store().port() + 1);
+    let store = Store::start(store_address).await;
+    let endless_store = serve_store(fixture.store(), store_address, pace).await;
     fill(&store, &fixture);
     serve(fixture.server()).await;
     for engine in engines(&fixture) {
@@ -252,6 +309,8 @@
     }
     let mut gateway = Gateway::start(fixture);
     gateway.serve_ordinary_requests().await;
+    endless_store.send_replace(true);
+    serve_peer(&gateway.fixture, pace).await;
     let front = gateway.fixture.front();
     let mut callers = JoinSet::new();
     for number in 0..callers_per_kind {
@@ -271,8 +330,8 @@
     gateway.check(what).await;
 }
 
-/// Guards against endless bytes in answers to many requests and to the calls of the host itself (reports, orders, events
-/// of kept parts), all at once, of which each stays within its bound and all together fill the memory.
+/// Guards against endless bytes in answers to many requests and to the calls of the host itself, all at once, of which
+/// each stays within its bound and all together fill the memory.
 #[tokio::test]
 async fn endless_answers_of_servers_share_the_memory() {
     let kinds: Vec<usize> = (0..FLOODS.len()).collect();
@@ -282,5 +341,11 @@
 /// Guards against the same with events and answers that grow slowly just below the bound of each.
 #[tokio::test]
 async fn stalled_answers_of_servers_share_the_memory() {
-    check_engines("stalled answers", 2, Pace::Stalling, &[3, 4], 5 * CALLERS).await;
+    check_engines("stalled answers", 2, Pace::Stalling, &[3, 4], 12 * CALLERS).await;
+}
+
+/// Guards against the same with heads.
+#[tokio::test]
+async fn stalled_heads_of_servers_share_the_memory() {
+    check_engines("stalled heads", 3, Pace::Stalling, &[0, 1], 25 * CALLERS).await;
 }
