--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -92,7 +92,7 @@
 /// Reads and applies one page of a kind, or the whole list if there are more pages and the kind isn't servers. Returns
 /// the revision if all objects were read.
 async fn list_at_start(hub: &Rc<Hub>, kind: Kind) -> Option<Revision> {
-    let (listing, page, _) = call_until_answered(hub, kind, async |asked_at| {
+    let ((listing, page), _) = call_until_answered(hub, kind, async |asked_at| {
         let page = hub
             .store
             .page(&hub.metrics, kind.store_kind(), None)
@@ -110,7 +110,7 @@
     if kind != Kind::Servers {
         return Some(list(hub, kind).await.0);
     }
-    // The feed's revision stays, since the list is not complete.
+    // Servers that the page lacks are not gone. The feed's revision stays, since the list is not complete.
     log::info!(feed = kind.as_str(), objects = page.objects.len();
         "part of a long list taken in; the rest comes from the source that is chosen");
     None
@@ -118,7 +118,7 @@
 
 /// Lists until the store answers, and applies the list. Returns its revision, and whether calls failed before.
 async fn list(hub: &Rc<Hub>, kind: Kind) -> (Revision, bool) {
-    let (listing, listed, failed) = call_until_answered(hub, kind, async |asked_at| {
+    let ((listing, listed), failed) = call_until_answered(hub, kind, async |asked_at| {
         let mut listing = Listing::new(hub, kind, asked_at);
         let adopt = |page: &Page| listing.adopt(page);
         let listed = hub
@@ -134,18 +134,18 @@
 
 /// Calls the store until it answers. Passes on when each call is made. Returns what the call returns, and whether calls
 /// failed before.
-async fn call_until_answered<T, U>(
+async fn call_until_answered<T>(
     hub: &Rc<Hub>,
     kind: Kind,
-    call: impl AsyncFn(Moment) -> Result<(T, U), Error>,
-) -> (T, U, bool) {
+    call: impl AsyncFn(Moment) -> Result<T, Error>,
+) -> (T, bool) {
     let mut backoff = FIRST_BACKOFF;
     let mut failed = false;
     loop {
         match call(clock::since_boot()).await {
-            Ok((first, second)) => {
+            Ok(answer) => {
                 hub.record_store_answer(kind, true);
-                return (first, second, failed);
+                return (answer, failed);
             }
             Err(error) => {
                 failed = true;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -26,6 +26,7 @@
 
 /// An open connection. Dropping it closes it at once, even during a request.
 pub(crate) struct Connection {
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     meter: Meter,
@@ -71,6 +72,7 @@
             }
         });
         Ok(Self {
+            address,
             sender,
             task,
             meter,
@@ -105,10 +107,10 @@
     ) -> Result<Response<Option<Bytes>>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
         let body = buffers.collect(body, max_bytes, None).await;
-        let body = body
-            .inspect_err(|error| log::info!("the body of an answer cannot be read: {error}"))
-            .ok();
-        Ok(Response::from_parts(head, body))
+        if let Err(error) = &body {
+            log::info!(peer:% = self.address; "the body of an answer cannot be read: {error}");
+        }
+        Ok(Response::from_parts(head, body.ok()))
     }
 
     /// Returns whether a request can be sent now.
