Split the reading of lists, and share the stand-in of a server between tests

Reading the diff: the call for the next page and its repetition stand in a function of their own, and two test programs had the same server. No behaviour changes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -311,7 +311,7 @@
     }
 
     /// Reads ahead until the server makes progress or ends its answer. Returns false if the connection broke or
-    /// more than `MAX_EVENT_BYTES` came without progress.
+    /// more than `MAX_EVENT_BYTES` came without progress, or if no memory is left for them.
     async fn read_until_progress(&mut self, body: &mut MeteredBody) -> bool {
         let mut splitter = self.splitter.clone();
         while let Some(chunk) = next_chunk(body).await {
@@ -325,9 +325,9 @@
                     return true;
                 }
             }
-            let capacity = self.read_ahead.capacity() + splitter.capacity();
-            let capacity = capacity + self.splitter.capacity();
-            if self.read_ahead.len() > MAX_EVENT_BYTES || count(&mut self.memory, capacity).is_err()
+            let buffered =
+                self.read_ahead.capacity() + splitter.capacity() + self.splitter.capacity();
+            if self.read_ahead.len() > MAX_EVENT_BYTES || count(&mut self.memory, buffered).is_err()
             {
                 return false;
             }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -138,6 +138,7 @@
     ) -> Result<Listed, Error> {
         let mut page = self.page(metrics, kind, None).await?;
         let revision = page.revision;
+        // The names after which pages were asked for.
         let mut asked = HashSet::new();
         let mut failures = 0;
         loop {
@@ -155,23 +156,33 @@
                     return Ok(Listed { revision, complete });
                 }
             };
-            page = loop {
-                match self.page(metrics, kind, Some(&after)).await {
-                    Ok(page) if page.revision.era() != revision.era() => {
-                        return Err(Error::OtherEra);
-                    }
-                    Ok(page) => break page,
-                    // Earlier pages are not asked for again, which would slow down a store that lacks bandwidth.
-                    Err(error @ (Error::Refused | Error::Unknown))
-                        if failures < MAX_PAGE_FAILURES =>
-                    {
-                        failures += 1;
-                        log::info!(kind, failures; "a page of a list failed, asking for it again: {error}");
-                        sleep(PAGE_RETRY_PAUSE * failures).await;
-                    }
-                    Err(error) => return Err(error),
+            page = self
+                .page_after(metrics, kind, &after, &mut failures)
+                .await?;
+            if page.revision.era() != revision.era() {
+                return Err(Error::OtherEra);
+            }
+        }
+    }
+
+    /// Reads the page after a name. Counts the failures of the whole list. After a failure, earlier pages are not asked for
+    /// again, which would slow down a store that lacks bandwidth.
+    async fn page_after(
+        &self,
+        metrics: &Metrics,
+        kind: &str,
+        after: &str,
+        failures: &mut u32,
+    ) -> Result<Page, Error> {
+        loop {
+            match self.page(metrics, kind, Some(after)).await {
+                Err(error @ (Error::Refused | Error::Unknown)) if *failures < MAX_PAGE_FAILURES => {
+                    *failures += 1;
+                    log::info!(kind, failures = *failures; "a page of a list failed, asking for it again: {error}");
+                    sleep(PAGE_RETRY_PAUSE * *failures).await;
                 }
-            };
+                result => return result,
+            }
         }
     }
 
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -18,14 +18,14 @@
 use jaystand_adapter_standin::{
     answer::{VALID_ANSWER, answer_head, stream_headers},
     call::{Call, Kind, READINESS_REQUEST},
-    exchange::{exchange, read_request},
+    exchange::exchange,
     objects::{Entry, config, weights},
     store::Store,
 };
-use support::{Fixture, Process, request};
+use support::{Fixture, Process, request, serve};
 use tokio::{
     io::AsyncWriteExt as _,
-    net::{TcpListener, TcpSocket},
+    net::TcpSocket,
     sync::{
         Mutex,
         mpsc::{UnboundedReceiver, unbounded_channel},
@@ -253,7 +253,10 @@
             ("i-1", "plain", fixture.server()),
             ("i-2", "lm", engine_address),
         ] {
-            serve(address).await;
+            serve(address, |received| {
+                answer_to(received.id(), received.request_line())
+            })
+            .await;
             let entry = Entry {
                 service,
                 address,
@@ -310,25 +313,8 @@
     }
 }
 
-/// Starts a backend server. It answers paths that contain `big` with 1 MB and `flow` with a long stream, and others
-/// with a short answer.
-async fn serve(address: SocketAddr) {
-    let listener = TcpListener::bind(address).await.expect("a free address");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut bytes = Vec::new();
-                while let Some(received) = read_request(&mut stream, &mut bytes).await {
-                    let answer = answer_to(received.id(), received.request_line());
-                    if stream.write_all(&answer).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-}
-
+/// Returns the answer of a backend server: 1 MB to paths that contain `big`, a long stream to those that contain `flow`,
+/// and a short answer to others.
 fn answer_to(id: &str, line: &str) -> Vec<u8> {
     let head = answer_head(id);
     if line.contains("big") {
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -14,7 +14,7 @@
     objects::{Entry, config, weights},
     store::Store,
 };
-use support::{Fixture, Process, request};
+use support::{Fixture, Process, request, serve};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream, UdpSocket},
@@ -137,24 +137,6 @@
     (1..=ENGINES).map(move |number| SocketAddr::new(first.ip(), first.port() + number))
 }
 
-/// Starts a sound server.
-async fn serve(address: SocketAddr) {
-    let listener = TcpListener::bind(address).await.expect("a free address");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut bytes = Vec::new();
-                while let Some(received) = read_request(&mut stream, &mut bytes).await {
-                    let answer = VALID_ANSWER.replace("{id}", received.id());
-                    if stream.write_all(answer.as_bytes()).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-}
-
 /// How fast a server sends bytes without end.
 #[derive(Clone, Copy)]
 enum Pace {
@@ -303,7 +285,10 @@
     let store = Store::start(store_address).await;
     let endless_store = serve_store(fixture.store(), store_address, pace).await;
     fill(&store, &fixture);
-    serve(fixture.server()).await;
+    serve(fixture.server(), |received| {
+        VALID_ANSWER.replace("{id}", received.id()).into_bytes()
+    })
+    .await;
     for engine in engines(&fixture) {
         flood(engine, pace).await;
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,8 +9,12 @@
     time::{Duration, Instant},
 };
 
-use jaystand_adapter_standin::call::{Call, Kind};
+use jaystand_adapter_standin::{
+    call::{Call, Kind},
+    exchange::{Request, read_request},
+};
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::{io::AsyncWriteExt as _, net::TcpListener};
 
 /// Maximum time that a test waits for the process.
 pub const PROCESS_TIMEOUT: Duration = Duration::from_secs(20);
@@ -30,6 +34,23 @@
     call.text()
 }
 
+/// Starts a backend server that gives these answers.
+pub async fn serve(address: SocketAddr, answer: fn(&Request) -> Vec<u8>) {
+    let listener = TcpListener::bind(address).await.expect("a free address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut bytes = Vec::new();
+                while let Some(received) = read_request(&mut stream, &mut bytes).await {
+                    if stream.write_all(&answer(&received)).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 /// A settings file and the addresses in it. The file is removed on drop.
 pub struct Fixture {
     address: Ipv4Addr,
