--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -61,6 +61,10 @@
     (EXTENSION, "xxxxxxxxxxxxxxxx"),
     (TRAILER, "x-more: and more\r\n"),
 ];
+/// Indices of the heads, of the body without a length, and of the bodies that hold one endless event.
+const HEADS: [usize; 2] = [0, 1];
+const UNFRAMED_BODY: usize = 3;
+const EVENTS: [usize; 2] = [UNFRAMED_BODY, 4];
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 const EXTENSION: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n5;a=";
 const TRAILER: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -158,11 +162,11 @@
                 let kind = path.rsplit('/').next()?.parse();
                 let stall_after = match (pace, &kind) {
                     (Pace::Fast, _) => usize::MAX,
-                    (Pace::Stalling, Ok(0 | 1)) => MAX_HEAD_BYTES,
+                    (Pace::Stalling, Ok(kind)) if HEADS.contains(kind) => MAX_HEAD_BYTES,
                     (Pace::Stalling, Ok(_)) => MAX_EVENT_BYTES,
                     (Pace::Stalling, Err(_)) => MAX_CALL_BYTES,
                 };
-                let kind = kind.unwrap_or(3);
+                let kind = kind.unwrap_or(UNFRAMED_BODY);
                 let (beginning, repeated): (&str, &str) = FLOODS[kind];
                 let id = received.id();
                 let head = format!(
@@ -326,11 +330,11 @@
 /// Guards against the same with events and answers that grow slowly just below the bound of each.
 #[tokio::test]
 async fn stalled_answers_of_servers_share_the_memory() {
-    check_engines("stalled answers", 2, Pace::Stalling, &[3, 4], 12 * CALLERS).await;
+    check_engines("stalled answers", 2, Pace::Stalling, &EVENTS, 12 * CALLERS).await;
 }
 
 /// Guards against the same with heads.
 #[tokio::test]
 async fn stalled_heads_of_servers_share_the_memory() {
-    check_engines("stalled heads", 3, Pace::Stalling, &[0, 1], 25 * CALLERS).await;
+    check_engines("stalled heads", 3, Pace::Stalling, &HEADS, 25 * CALLERS).await;
 }
