--- /dev/null
+++ b/review/standin-3/src/cases.rs
@@ -0,0 +1,410 @@
+//! The cases. Each returns whether the rule held.
+
+use std::{
+    io::{self, Write as _},
+    net::TcpStream,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    fleet::{Entry, Gateway, Record, configuration, has_trouble, head, request_id, unix_ms},
+    http,
+    server::{Engine, start_foreign, start_plain},
+    store::Store,
+};
+
+/// Error number of a process that has no descriptor left.
+const TOO_MANY_OPEN_FILES: i32 = 24;
+const ZONES: [&str; 2] = ["pichincha", "cotopaxi"];
+
+fn sleep_s(seconds: f64) {
+    thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+fn start_store() -> io::Result<Store> {
+    let store = Store::start(([127, 0, 0, 1], 0).into())?;
+    store.put("config", "main", &configuration());
+    Ok(store)
+}
+
+fn verdict(record: &Record, held: bool, text: &str) -> bool {
+    let result = if held { "held" } else { "BROKEN" };
+    record.line(format!("{result}: {text}"));
+    println!("{result}: {text}");
+    held
+}
+
+/// What became of one request: when it was sent, and the status that the client got.
+type Outcomes = Arc<Mutex<Vec<(Duration, u16)>>>;
+
+/// Sends requests to the gateways in turn until `stop` is set, each on a new connection.
+fn send_steadily(
+    record: &Record,
+    fronts: Vec<std::net::SocketAddr>,
+    per_s: f64,
+    compose: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> (Outcomes, Arc<AtomicBool>) {
+    let (outcomes, stop) = (Outcomes::default(), Arc::new(AtomicBool::new(false)));
+    let (shared, stopped, record) = (Arc::clone(&outcomes), Arc::clone(&stop), record.clone());
+    let compose = Arc::new(compose);
+    thread::spawn(move || {
+        for front in fronts.iter().copied().cycle() {
+            if stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            let (shared, record, compose) =
+                (Arc::clone(&shared), record.clone(), Arc::clone(&compose));
+            thread::spawn(move || {
+                let id = request_id();
+                let sent = record.started.elapsed();
+                record.line(format!("client sends {id} to {front}"));
+                let reply = http::exchange(front, &compose(&id), Duration::from_secs(16));
+                let status = if reply.complete { reply.status } else { 0 };
+                record.line(format!(
+                    "client gets {status} for {id}: {}",
+                    if status == 200 {
+                        "whole answer".to_owned()
+                    } else {
+                        String::from_utf8_lossy(&reply.body).into_owned()
+                    }
+                ));
+                shared.lock().expect("outcomes").push((sent, status));
+            });
+            sleep_s(1.0 / per_s);
+        }
+    });
+    (outcomes, stop)
+}
+
+/// Returns the number of requests that were sent in a span, and how many of them were served.
+fn served_between(outcomes: &Outcomes, from: Duration, to: Duration) -> (usize, usize) {
+    let outcomes = outcomes.lock().expect("outcomes");
+    let sent: Vec<u16> = outcomes
+        .iter()
+        .filter(|(at, _)| *at >= from && *at < to)
+        .map(|(_, s)| *s)
+        .collect();
+    (
+        sent.len(),
+        sent.iter().filter(|status| **status == 200).count(),
+    )
+}
+
+/// Entries of another writer, of a service that no configuration names, take the model servers out of the weights updates.
+pub fn foreign_weights(folder: &str) -> io::Result<bool> {
+    const VERSION_MS: u32 = 6_000;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    store.put("versions", "m0", "{\"model\":\"m0\",\"version\":3}");
+    let zone = |number: usize| ZONES[number % ZONES.len()];
+    let engines: Vec<Engine> = (0..9)
+        .map(|number| {
+            Engine::start(
+                &record,
+                &store,
+                &format!("i-engine{number}"),
+                zone(number),
+                3,
+            )
+        })
+        .collect::<io::Result<_>>()?;
+    let fleet = Gateway::start_fleet(&record, &store, &ZONES, VERSION_MS)?;
+    let fronts = fleet.iter().map(|gateway| gateway.front).collect();
+    let (outcomes, stop) = send_steadily(&record, fronts, 20.0, |id| {
+        let more = "X-Model: m0\r\nX-Token-Usage: 1460,27\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n\
+                    Content-Length: 0\r\n";
+        head("POST", "hulo84.example", "/xapu221/2f", id, 2_500, more)
+    });
+    sleep_s(3.0);
+    if has_trouble() {
+        for number in 0..2 {
+            let name = format!("staging-{number}");
+            let entry = Entry {
+                name: name.clone(),
+                service: "staging-lm".to_owned(),
+                address: start_foreign(&record, &name)?,
+                zone: zone(number).to_owned(),
+                slots: 24,
+                born: unix_ms(),
+                version: Some(1),
+            };
+            entry.write(&store, 1);
+            record.line(format!(
+                "another writer writes {name} of a service that no configuration names"
+            ));
+        }
+    }
+    sleep_s(2.0);
+    store.put("versions", "m0", "{\"model\":\"m0\",\"version\":4}");
+    let acknowledged = record.started.elapsed();
+    record.line("the operator names version 4; acknowledged");
+    sleep_s(15.0);
+    stop.store(true, Ordering::SeqCst);
+    let older: Vec<&str> = engines
+        .iter()
+        .filter(|e| e.version() < 4)
+        .map(|e| e.name.as_str())
+        .collect();
+    let late = Duration::from_millis(VERSION_MS.into());
+    let (sent, served) = served_between(&outcomes, acknowledged + late, acknowledged + late * 2);
+    let (sent_before, served_before) = served_between(&outcomes, Duration::ZERO, acknowledged);
+    let text = format!(
+        "15 s after the acknowledgement {} of {} servers have an older version; served before it: {served_before} of \
+         {sent_before}, from {VERSION_MS} ms after it on: {served} of {sent}",
+        older.len(),
+        engines.len()
+    );
+    let held = older.len() <= 1 || older.len() * 10 <= engines.len();
+    Ok(verdict(&record, held, &text))
+}
+
+/// Entries of another writer, of a service that no configuration names, name the addresses of live servers.
+pub fn foreign_address(folder: &str) -> io::Result<bool> {
+    const RECOVER: f64 = 12.0;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    let mut addresses = Vec::new();
+    for number in 0..4 {
+        let name = format!("i-desk{number}");
+        addresses.push(start_plain(
+            &record,
+            &store,
+            &name,
+            ZONES[number % ZONES.len()],
+            800,
+        )?);
+    }
+    let mut fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
+    let fronts = fleet.iter().map(|gateway| gateway.front).collect();
+    let (outcomes, stop) = send_steadily(&record, fronts, 20.0, |id| {
+        head(
+            "POST",
+            "jepu9.example",
+            "/fiti832/ti23/2f",
+            id,
+            1_000,
+            "Content-Length: 0\r\n",
+        )
+    });
+    sleep_s(5.0);
+    if has_trouble() {
+        for (number, address) in addresses.iter().enumerate() {
+            let entry = Entry {
+                name: format!("inventory-{number}"),
+                service: "host-inventory".to_owned(),
+                address: *address,
+                zone: ZONES[number % ZONES.len()].to_owned(),
+                slots: 1,
+                born: unix_ms(),
+                version: None,
+            };
+            entry.write(&store, 1);
+        }
+        record.line("another writer writes entries of a service that no configuration names");
+    }
+    let fault = record.started.elapsed();
+    for gateway in &mut fleet {
+        gateway.kill(&record);
+    }
+    sleep_s(1.0);
+    for gateway in &mut fleet {
+        gateway.spawn(&record)?;
+    }
+    let back = record.started.elapsed();
+    sleep_s(RECOVER + 8.0);
+    stop.store(true, Ordering::SeqCst);
+    sleep_s(1.2);
+    let judged = back + Duration::from_secs_f64(RECOVER);
+    let (sent_before, served_before) = served_between(&outcomes, Duration::ZERO, fault);
+    let (sent, served) = served_between(&outcomes, judged, judged + Duration::from_secs(8));
+    if served_before * 4 < sent_before || sent < 50 {
+        return Err(io::Error::other(
+            "too few requests were served before the fault, or sent after it",
+        ));
+    }
+    let text = format!(
+        "served before the final fault: {served_before} of {sent_before}; later than {RECOVER} s after the machines are \
+         back: {served} of {sent}"
+    );
+    Ok(verdict(&record, served * 4 >= sent, &text))
+}
+
+/// A gateway gets SIGTERM while clients read answers slowly.
+pub fn slow_reader(folder: &str) -> io::Result<bool> {
+    const ANSWER_BYTES: usize = 800_000;
+    const BYTES_PER_S: f64 = 150_000.0;
+    const RECEIVE_BUFFER: i32 = 16 << 10;
+    const CLIENTS: usize = 6;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    start_plain(&record, &store, "i-desk0", ZONES[0], ANSWER_BYTES)?;
+    start_plain(&record, &store, "i-desk1", ZONES[1], ANSWER_BYTES)?;
+    let mut fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
+    let front = fleet[0].front;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let record = record.clone();
+            thread::spawn(move || {
+                let id = request_id();
+                // Unsafe and safe requests by turns.
+                let request = if number % 2 == 0 {
+                    head(
+                        "POST",
+                        "jepu9.example",
+                        "/fiti832/ti23/2f",
+                        &id,
+                        15_000,
+                        "Content-Length: 0\r\n",
+                    )
+                } else {
+                    head("GET", "voka93.example", "/filo73/de11/2f", &id, 15_000, "")
+                };
+                record.line(format!("client sends {id}"));
+                let started = Instant::now();
+                let mut read = 0_u32;
+                let reply = http::exchange_slowly(
+                    front,
+                    &request,
+                    Duration::from_secs(12),
+                    Some(RECEIVE_BUFFER),
+                    |bytes| {
+                        read += u32::try_from(bytes).unwrap_or(0);
+                        let due = Duration::from_secs_f64(f64::from(read) / BYTES_PER_S);
+                        thread::sleep(due.saturating_sub(started.elapsed()));
+                    },
+                );
+                record.line(format!(
+                    "client got {} and {} of {ANSWER_BYTES} bytes for {id}; whole: {}",
+                    reply.status,
+                    reply.body.len(),
+                    reply.complete
+                ));
+                reply
+            })
+        })
+        .collect();
+    sleep_s(0.5);
+    let stopped = Instant::now();
+    if has_trouble() {
+        fleet[0].terminate(&record);
+    }
+    let mut ended_after = None;
+    while clients.iter().any(|client| !client.is_finished())
+        && stopped.elapsed() < Duration::from_secs(20)
+    {
+        if ended_after.is_none() && fleet[0].has_ended() {
+            ended_after = Some(stopped.elapsed());
+            record.line(format!("{} has ended", fleet[0].name));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let replies: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
+    let cut = replies
+        .iter()
+        .filter(|reply| reply.status == 200 && !reply.complete)
+        .count();
+    if replies.iter().any(|reply| reply.status != 200) {
+        return Err(io::Error::other("a request was not answered with 200"));
+    }
+    let text = format!(
+        "{cut} of {CLIENTS} answers were cut; the process ended {} ms after SIGTERM, of 8000 ms that it has",
+        ended_after.map_or_else(|| "-".to_owned(), |after| after.as_millis().to_string())
+    );
+    Ok(verdict(&record, cut == 0, &text))
+}
+
+/// A crowd sends requests of legal size whose heads have many short fields, and stops one byte short of the end of each
+/// body.
+pub fn crowd_memory(folder: &str) -> io::Result<bool> {
+    const MEMORY_KB: u64 = 110 << 10;
+    const CLIENTS: usize = 1_700;
+    const FIELDS: usize = 92;
+    const HEAD_BYTES: usize = 15_500;
+    const BODY_BYTES: usize = 16_000;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    start_plain(&record, &store, "i-desk0", ZONES[0], 800)?;
+    start_plain(&record, &store, "i-desk1", ZONES[1], 800)?;
+    let mut fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
+    let front = fleet[0].front;
+    let (outcomes, stop) = send_steadily(&record, vec![front], 10.0, |id| {
+        head(
+            "POST",
+            "jepu9.example",
+            "/fiti832/ti23/2f",
+            id,
+            1_000,
+            "Content-Length: 0\r\n",
+        )
+    });
+    sleep_s(2.0);
+    record.line(format!(
+        "peak memory before the crowd: {} kB",
+        fleet[0].peak_memory_kb()
+    ));
+    let mut crowd = Vec::new();
+    if has_trouble() {
+        let value = "v".repeat(HEAD_BYTES / FIELDS - "f00: \r\n".len());
+        let fields: String = (0..FIELDS)
+            .map(|field| format!("f{field:02}: {value}\r\n"))
+            .collect();
+        let more = format!("{fields}Content-Length: {BODY_BYTES}\r\n");
+        let mut refused = 0;
+        for _ in 0..CLIENTS {
+            let id = request_id();
+            let mut request = head(
+                "POST",
+                "jepu9.example",
+                "/fiti832/ti23/2f",
+                &id,
+                15_000,
+                &more,
+            )
+            .into_bytes();
+            request.extend(std::iter::repeat_n(b'b', BODY_BYTES - 1));
+            let connected = TcpStream::connect_timeout(&front, Duration::from_secs(1));
+            let sent = connected.and_then(|mut stream| {
+                stream.set_write_timeout(Some(Duration::from_millis(200)))?;
+                // A gateway may refuse the request and close the connection.
+                refused += usize::from(stream.write_all(&request).is_err());
+                Ok(stream)
+            });
+            match sent {
+                Ok(stream) => crowd.push(stream),
+                Err(error) if error.raw_os_error() == Some(TOO_MANY_OPEN_FILES) => {
+                    return Err(error);
+                }
+                Err(_) => refused += 1,
+            }
+        }
+        record.line(format!(
+            "{CLIENTS} clients have sent {BODY_BYTES} bytes less one after heads of {FIELDS} fields; {refused} of them \
+             were turned away meanwhile"
+        ));
+    }
+    let mut peak = 0;
+    for _ in 0..20 {
+        sleep_s(0.2);
+        peak = peak.max(fleet[0].peak_memory_kb());
+    }
+    stop.store(true, Ordering::SeqCst);
+    drop(crowd);
+    sleep_s(1.2);
+    if fleet[0].has_ended() {
+        return Ok(verdict(&record, false, "the process has ended"));
+    }
+    let (sent, served) = served_between(&outcomes, Duration::ZERO, Duration::from_secs(60));
+    let text = format!(
+        "peak memory of the process: {peak} kB of the {MEMORY_KB} kB of its machine; ordinary requests served: {served} \
+         of {sent}"
+    );
+    Ok(verdict(&record, peak <= MEMORY_KB, &text))
+}
