--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -8,11 +8,14 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
-    fleet::{Entry, Gateway, Record, configuration, has_trouble, head, request_id, unix_ms},
+    fleet::{
+        Entry, Gateway, KEY, OTHER_KEY, OTHER_TENANT, Record, TENANT, configuration, has_trouble,
+        head, head_of, request_id, unix_ms,
+    },
     http,
     server::{Engine, start_foreign, start_plain},
     store::Store,
@@ -28,7 +31,7 @@
 
 fn start_store() -> io::Result<Store> {
     let store = Store::start(([127, 0, 0, 1], 0).into())?;
-    store.put("config", "main", &configuration());
+    store.put("config", "main", &configuration(7, false));
     Ok(store)
 }
 
@@ -234,93 +237,6 @@
     Ok(verdict(&record, served * 4 >= sent, &text))
 }
 
-/// A gateway gets SIGTERM while clients read answers slowly.
-pub fn slow_reader(folder: &str) -> io::Result<bool> {
-    const ANSWER_BYTES: usize = 800_000;
-    const BYTES_PER_S: f64 = 150_000.0;
-    const RECEIVE_BUFFER: i32 = 16 << 10;
-    const CLIENTS: usize = 6;
-    let record = Record::create(folder)?;
-    let store = start_store()?;
-    start_plain(&record, &store, "i-desk0", ZONES[0], ANSWER_BYTES)?;
-    start_plain(&record, &store, "i-desk1", ZONES[1], ANSWER_BYTES)?;
-    let mut fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
-    let front = fleet[0].front;
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let record = record.clone();
-            thread::spawn(move || {
-                let id = request_id();
-                // Unsafe and safe requests by turns.
-                let request = if number % 2 == 0 {
-                    head(
-                        "POST",
-                        "jepu9.example",
-                        "/fiti832/ti23/2f",
-                        &id,
-                        15_000,
-                        "Content-Length: 0\r\n",
-                    )
-                } else {
-                    head("GET", "voka93.example", "/filo73/de11/2f", &id, 15_000, "")
-                };
-                record.line(format!("client sends {id}"));
-                let started = Instant::now();
-                let mut read = 0_u32;
-                let reply = http::exchange_slowly(
-                    front,
-                    &request,
-                    Duration::from_secs(12),
-                    Some(RECEIVE_BUFFER),
-                    |bytes| {
-                        read += u32::try_from(bytes).unwrap_or(0);
-                        let due = Duration::from_secs_f64(f64::from(read) / BYTES_PER_S);
-                        thread::sleep(due.saturating_sub(started.elapsed()));
-                    },
-                );
-                record.line(format!(
-                    "client got {} and {} of {ANSWER_BYTES} bytes for {id}; whole: {}",
-                    reply.status,
-                    reply.body.len(),
-                    reply.complete
-                ));
-                reply
-            })
-        })
-        .collect();
-    sleep_s(0.5);
-    let stopped = Instant::now();
-    if has_trouble() {
-        fleet[0].terminate(&record);
-    }
-    let mut ended_after = None;
-    while clients.iter().any(|client| !client.is_finished())
-        && stopped.elapsed() < Duration::from_secs(20)
-    {
-        if ended_after.is_none() && fleet[0].has_ended() {
-            ended_after = Some(stopped.elapsed());
-            record.line(format!("{} has ended", fleet[0].name));
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    let replies: Vec<_> = clients
-        .into_iter()
-        .filter_map(|client| client.join().ok())
-        .collect();
-    let cut = replies
-        .iter()
-        .filter(|reply| reply.status == 200 && !reply.complete)
-        .count();
-    if replies.iter().any(|reply| reply.status != 200) {
-        return Err(io::Error::other("a request was not answered with 200"));
-    }
-    let text = format!(
-        "{cut} of {CLIENTS} answers were cut; the process ended {} ms after SIGTERM, of 8000 ms that it has",
-        ended_after.map_or_else(|| "-".to_owned(), |after| after.as_millis().to_string())
-    );
-    Ok(verdict(&record, cut == 0, &text))
-}
-
 /// A crowd sends requests of legal size whose heads have many short fields, and stops one byte short of the end of each
 /// body.
 pub fn crowd_memory(folder: &str) -> io::Result<bool> {
@@ -472,3 +388,79 @@
     );
     Ok(verdict(&record, denied <= 5 + outcomes.len() / 500, &text))
 }
+
+/// A change of the configuration makes a tenant a dedicated one.
+pub fn dedicated_tenant(folder: &str) -> io::Result<bool> {
+    const CONFIG_APPLY: f64 = 2.0;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    store.put("versions", "m0", "{\"model\":\"m0\",\"version\":3}");
+    let engines: Vec<Engine> = (0..3)
+        .map(|number| {
+            Engine::start(
+                &record,
+                &store,
+                &format!("i-engine{number}"),
+                ZONES[number % 2],
+                3,
+            )
+        })
+        .collect::<io::Result<_>>()?;
+    let fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
+    // From a stable window after the start on, the machines are in touch.
+    sleep_s(4.0);
+    let send = |tenant: &str, key: &str| -> io::Result<()> {
+        for number in 0..12 {
+            let id = request_id();
+            let more = format!(
+                "X-Model: m0\r\nX-Token-Usage: 1460,27\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{id}:250\r\n\
+                 Content-Length: 0\r\n"
+            );
+            let request = head_of(
+                "POST",
+                "hulo84.example",
+                "/xapu221/2f",
+                &id,
+                2_500,
+                &more,
+                key,
+            );
+            let reply = http::exchange(
+                fleet[number % fleet.len()].front,
+                &request,
+                Duration::from_secs(3),
+            );
+            record.line(format!(
+                "client of {tenant} sends {id} and gets {}",
+                reply.status
+            ));
+            if reply.status != 200 || !reply.complete {
+                return Err(io::Error::other("a request was not served"));
+            }
+        }
+        Ok(())
+    };
+    send(TENANT, KEY)?;
+    store.put("config", "main", &configuration(8, has_trouble()));
+    record.line(format!(
+        "the operator sends version 8; acknowledged; {TENANT} is dedicated: {}",
+        has_trouble()
+    ));
+    sleep_s(CONFIG_APPLY + 1.0);
+    let in_force = record.started.elapsed();
+    record.line("version 8 is in force at all machines by now");
+    send(OTHER_TENANT, OTHER_KEY)?;
+    send(TENANT, KEY)?;
+    let is_dedicated = |tenant: &str| has_trouble() && tenant == TENANT;
+    let uses = engines
+        .iter()
+        .flat_map(Engine::uses)
+        .filter(|part| part.at >= in_force && part.tenant != part.maker);
+    let crossings = uses
+        .filter(|part| is_dedicated(&part.tenant) || is_dedicated(&part.maker))
+        .count();
+    let text = format!(
+        "{crossings} parts that a request of a dedicated tenant made were used by another tenant"
+    );
+    Ok(verdict(&record, crossings == 0, &text))
+}
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -18,6 +18,8 @@
 
 pub const KEY: &str = "ctnfzs989anu6wsjnban";
 pub const TENANT: &str = "sese880";
+pub const OTHER_KEY: &str = "fqasnmgkcuyj8pjbvk9m";
+pub const OTHER_TENANT: &str = "nuka114";
 const GATEWAY: &str = "target/release/jaystand-gateway";
 
 /// The record of a run: one line for each fact, with the milliseconds since the start.
@@ -181,17 +183,6 @@
         }
     }
 
-    /// Sends SIGTERM to the process.
-    pub fn terminate(&self, record: &Record) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .arg("-TERM")
-                .arg(child.id().to_string())
-                .status();
-            record.line(format!("{} gets SIGTERM", self.name));
-        }
-    }
-
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -253,7 +244,7 @@
     }
 }
 
-/// Returns the head of a client's request.
+/// Returns the head of a request of the first tenant.
 pub fn head(
     method: &str,
     host: &str,
@@ -261,18 +252,31 @@
     id: &str,
     deadline_ms: u32,
     more: &str,
+) -> String {
+    head_of(method, host, path, id, deadline_ms, more, KEY)
+}
+
+/// Returns the head of a request with a key.
+pub fn head_of(
+    method: &str,
+    host: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    more: &str,
+    key: &str,
 ) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-         Authorization: Bearer {KEY}\r\n{more}\r\n"
+         Authorization: Bearer {key}\r\n{more}\r\n"
     )
 }
 
 /// The operator's configuration: a route to a plain service for safe and one for unsafe requests, and one for streams to
-/// engines.
-pub fn configuration() -> String {
+/// engines. It has two tenants, of which the first one may be dedicated.
+pub fn configuration(version: u32, dedicated: bool) -> String {
     format!(
-        "{{\"version\":7,\"routes\":[\
+        "{{\"version\":{version},\"routes\":[\
          {{\"name\":\"record-lookup\",\"host\":\"voka93.example\",\"pathPrefix\":\"/filo73/\",\"kind\":\"safe\",\
          \"timeoutMs\":15000,\"sloMs\":150,\"priority\":2,\"service\":\"libro\",\"maxAttempts\":2,\"public\":false,\
          \"sticky\":false,\"resumable\":false}},\
@@ -289,6 +293,7 @@
          {{\"name\":\"libro\",\"healthPath\":\"/healthz\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"{TENANT}\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\"dedicated\":false}}]}}"
+         \"tenants\":[{{\"name\":\"{TENANT}\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\"dedicated\":{dedicated}}},\
+         {{\"name\":\"{OTHER_TENANT}\",\"apiKeys\":[\"{OTHER_KEY}\"],\"priority\":1,\"dedicated\":false}}]}}"
     )
 }
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -4,7 +4,6 @@
     collections::HashMap,
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd as _,
     sync::Arc,
     thread,
     time::Duration,
@@ -132,27 +131,6 @@
     Ok(local)
 }
 
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-}
-
-/// Bounds the bytes that the kernel takes for a client that does not read. On a loopback address it takes megabytes
-/// otherwise, which no network between a client and a gateway does.
-fn limit_receive_buffer(stream: &TcpStream, bytes: i32) -> bool {
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    // SAFETY: the socket is open, and the value is an integer of the stated length.
-    unsafe {
-        setsockopt(
-            stream.as_raw_fd(),
-            SOL_SOCKET,
-            SO_RCVBUF,
-            &raw const bytes,
-            4,
-        ) == 0
-    }
-}
-
 /// What a client got.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -165,18 +143,6 @@
 
 /// Sends a request on a new connection and reads the answer to its end.
 pub fn exchange(address: SocketAddr, request: &str, time_limit: Duration) -> Reply {
-    exchange_slowly(address, request, time_limit, None, |_| ())
-}
-
-/// Does the same, with a receive buffer of so many bytes. `pace` is called after each read with the number of bytes, and
-/// may sleep.
-pub fn exchange_slowly(
-    address: SocketAddr,
-    request: &str,
-    time_limit: Duration,
-    receive_buffer: Option<i32>,
-    mut pace: impl FnMut(usize),
-) -> Reply {
     let mut reply = Reply {
         status: 0,
         headers: HashMap::new(),
@@ -188,9 +154,6 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(time_limit));
-    if receive_buffer.is_some_and(|bytes| !limit_receive_buffer(&stream, bytes)) {
-        return reply;
-    }
     if stream.write_all(request.as_bytes()).is_err() {
         return reply;
     }
@@ -229,7 +192,6 @@
             Ok(0) | Err(_) => break,
             Ok(read) => {
                 raw.extend_from_slice(&chunk[..read]);
-                pace(read);
             }
         }
     }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -18,9 +18,9 @@
     let result = match case.as_str() {
         "foreign-weights" => cases::foreign_weights(folder),
         "foreign-address" => cases::foreign_address(folder),
-        "slow-reader" => cases::slow_reader(folder),
         "crowd-memory" => cases::crowd_memory(folder),
         "foreign-fields" => cases::foreign_fields(folder),
+        "dedicated-tenant" => cases::dedicated_tenant(folder),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -1,10 +1,11 @@
 //! Stand-ins for servers, as the users' pages describe sound ones.
 
 use std::{
+    collections::HashMap,
     io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -92,11 +93,23 @@
     Ok(address)
 }
 
+/// The use of a kept part of a prompt.
+#[derive(Clone, Debug)]
+pub struct Use {
+    /// Time since the start of the record.
+    pub at: Duration,
+    /// Tenant whose request uses the part.
+    pub tenant: String,
+    /// Tenant whose request made it.
+    pub maker: String,
+}
+
 /// A model server.
 #[derive(Clone)]
 pub struct Engine {
     pub name: String,
     version: Arc<AtomicU64>,
+    uses: Arc<Mutex<Vec<Use>>>,
 }
 
 struct EngineState {
@@ -106,6 +119,9 @@
     orders: AtomicU64,
     fence: AtomicU64,
     busy: Arc<AtomicBool>,
+    /// The tenant whose request made each kept part, by salt and part.
+    kept: Mutex<HashMap<(String, String), String>>,
+    uses: Arc<Mutex<Vec<Use>>>,
 }
 
 impl Engine {
@@ -113,6 +129,11 @@
         self.version.load(Ordering::SeqCst)
     }
 
+    /// Returns the uses of kept parts so far.
+    pub fn uses(&self) -> Vec<Use> {
+        self.uses.lock().expect("uses").clone()
+    }
+
     /// Starts a model server that serves a version of `m0`.
     pub fn start(
         record: &Record,
@@ -122,6 +143,7 @@
         version: u64,
     ) -> io::Result<Self> {
         let version = Arc::new(AtomicU64::new(version));
+        let uses = Arc::default();
         let state = EngineState {
             record: record.clone(),
             name: name.to_owned(),
@@ -129,6 +151,8 @@
             orders: AtomicU64::new(0),
             fence: AtomicU64::new(0),
             busy: Arc::default(),
+            kept: Mutex::default(),
+            uses: Arc::clone(&uses),
         };
         let address = http::listen(loopback(), move |request, stream| {
             state.serve(request, stream)
@@ -153,11 +177,39 @@
         Ok(Self {
             name: name.to_owned(),
             version,
+            uses,
         })
     }
 }
 
 impl EngineState {
+    /// Uses the parts of a request's prompt that are kept under its salt, and keeps the others. An absent salt counts as
+    /// one text shared by all.
+    fn keep_parts(&self, request: &Request) {
+        let (salt, tenant) = (request.header("x-cache-salt"), request.header("x-tenant"));
+        let call = request.header("x-request-id");
+        let mut kept = self.kept.lock().expect("parts");
+        let mut all_before = true;
+        for part in request.header("x-prompt-prefix").split(',').map(str::trim) {
+            let key = (salt.to_owned(), part.to_owned());
+            if let Some(maker) = kept.get(&key).filter(|_| all_before).cloned() {
+                self.record.line(format!(
+                    "server {}: {call} of {tenant} uses part {part}, which a request of {maker} made under the salt \"{salt}\"",
+                    self.name
+                ));
+                let at = self.record.started.elapsed();
+                let tenant = tenant.to_owned();
+                self.uses
+                    .lock()
+                    .expect("uses")
+                    .push(Use { at, tenant, maker });
+            } else {
+                all_before = false;
+                kept.insert(key, tenant.to_owned());
+            }
+        }
+    }
+
     fn serve(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
         if misdirected(&self.name, request, stream)? {
             return Ok(());
@@ -205,6 +257,7 @@
             "server {} runs {call} on version {version}",
             self.name
         ));
+        self.keep_parts(request);
         thread::sleep(Duration::from_millis(60));
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: {call}\r\n\
@@ -236,6 +289,7 @@
             "409 Conflict"
         } else {
             self.orders.fetch_add(1, Ordering::SeqCst);
+            self.kept.lock().expect("parts").clear();
             self.busy.store(true, Ordering::SeqCst);
             let (served, busy) = (Arc::clone(&self.version), Arc::clone(&self.busy));
             thread::spawn(move || {
