--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -18,7 +18,7 @@
     },
     http,
     server::{Engine, start_foreign, start_plain},
-    store::Store,
+    store::{Store, UNREADABLE},
 };
 
 /// Error number of a process that has no descriptor left.
@@ -464,3 +464,67 @@
     );
     Ok(verdict(&record, crossings == 0, &text))
 }
+
+/// One entry of another writer fills a page of the list of servers, and its name cannot be read.
+pub fn unreadable_page(folder: &str) -> io::Result<bool> {
+    const RECOVER: f64 = 12.0;
+    const VALUE_BYTES: usize = 1_048_300;
+    let record = Record::create(folder)?;
+    let store = start_store()?;
+    for number in 0..4 {
+        start_plain(
+            &record,
+            &store,
+            &format!("i-desk{number}"),
+            ZONES[number % ZONES.len()],
+            800,
+        )?;
+    }
+    let mut fleet = Gateway::start_fleet(&record, &store, &ZONES, 6_000)?;
+    let fronts = fleet.iter().map(|gateway| gateway.front).collect();
+    let (outcomes, stop) = send_steadily(&record, fronts, 20.0, |id| {
+        head(
+            "POST",
+            "jepu9.example",
+            "/fiti832/ti23/2f",
+            id,
+            1_000,
+            "Content-Length: 0\r\n",
+        )
+    });
+    sleep_s(5.0);
+    if has_trouble() {
+        let name = format!("a{UNREADABLE}");
+        store.put(
+            "servers",
+            &name,
+            &format!("{{\"note\":\"{}\"}}", "n".repeat(VALUE_BYTES)),
+        );
+        record.line("another writer writes an entry whose name cannot be read");
+    }
+    let fault = record.started.elapsed();
+    for gateway in &mut fleet {
+        gateway.kill(&record);
+    }
+    sleep_s(1.0);
+    for gateway in &mut fleet {
+        gateway.respawn(&record)?;
+    }
+    let back = record.started.elapsed();
+    sleep_s(RECOVER + 8.0);
+    stop.store(true, Ordering::SeqCst);
+    sleep_s(1.2);
+    let judged = back + Duration::from_secs_f64(RECOVER);
+    let (sent_before, served_before) = served_between(&outcomes, Duration::ZERO, fault);
+    let (sent, served) = served_between(&outcomes, judged, judged + Duration::from_secs(8));
+    if served_before * 4 < sent_before || sent < 50 {
+        return Err(io::Error::other(
+            "too few requests were served before the fault, or sent after it",
+        ));
+    }
+    let text = format!(
+        "served before the final fault: {served_before} of {sent_before}; later than {RECOVER} s after the machines are \
+         back: {served} of {sent}"
+    );
+    Ok(verdict(&record, served * 4 >= sent, &text))
+}
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -96,6 +96,24 @@
     }))
 }
 
+/// Decodes the escaped bytes of a query.
+pub fn unescape(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let escaped = after.get(..2).filter(|_| *first == b'%');
+        let escaped =
+            escaped.and_then(|hex| u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok());
+        bytes.push(escaped.unwrap_or(*first));
+        rest = if escaped.is_some() {
+            &after[2..]
+        } else {
+            after
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Writes a whole answer.
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
     let head = format!(
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -21,6 +21,7 @@
         "crowd-memory" => cases::crowd_memory(folder),
         "foreign-fields" => cases::foreign_fields(folder),
         "dedicated-tenant" => cases::dedicated_tenant(folder),
+        "unreadable-page" => cases::unreadable_page(folder),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -10,6 +10,24 @@
 
 use crate::http::{self, Request};
 
+/// A page of a list has so many objects, or so many bytes.
+const PAGE_OBJECTS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+/// Stands for a byte that is no UTF-8 in names and values.
+pub const UNREADABLE: char = '\u{e000}';
+
+/// Returns the bytes of a text, with those that are no UTF-8.
+fn unreadable(text: &str) -> Vec<u8> {
+    let pieces: Vec<&[u8]> = text.split(UNREADABLE).map(str::as_bytes).collect();
+    pieces.join(&0xff)
+}
+
+/// Returns a server's entry without its count of heartbeats.
+fn without_heartbeat(spec: &str) -> &str {
+    spec.rsplit_once(",\"seq\":")
+        .map_or(spec, |(before, _)| before)
+}
+
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -42,11 +60,9 @@
 
     fn put(&mut self, kind: &str, name: &str, spec: &str) {
         let key = (kind.to_owned(), name.to_owned());
-        if self
-            .objects
-            .get(&key)
-            .is_some_and(|object| object.spec == spec)
-        {
+        // "The entry changes when more than `seq` changes."
+        let same = |object: &Object| without_heartbeat(&object.spec) == without_heartbeat(spec);
+        if self.objects.get(&key).is_some_and(same) {
             return;
         }
         self.revision += 1;
@@ -143,22 +159,30 @@
             }
         }
         ("GET", None) => {
-            let after = request.query("after").unwrap_or("");
+            let after = http::unescape(request.query("after").unwrap_or(""));
             let keys = state
                 .objects
                 .keys()
-                .filter(|(k, name)| k == kind && name.as_str() > after);
-            let items: Vec<String> = keys
-                .filter_map(|(_, name)| state.text(kind, name))
-                .collect();
-            (
-                "200 OK",
-                format!(
-                    "{{\"items\":[{}],\"hasMore\":false,\"asOf\":{}}}",
-                    items.join(","),
-                    state.revision
-                ),
-            )
+                .filter(|(k, name)| k == kind && *name > after);
+            let mut items: Vec<String> = Vec::new();
+            let (mut bytes, mut more) = (0, false);
+            for (_, name) in keys {
+                let item = state.text(kind, name).unwrap_or_default();
+                if !items.is_empty()
+                    && (bytes + item.len() > PAGE_BYTES || items.len() >= PAGE_OBJECTS)
+                {
+                    more = true;
+                    break;
+                }
+                bytes += item.len();
+                items.push(item);
+            }
+            let text = format!(
+                "{{\"items\":[{}],\"hasMore\":{more},\"asOf\":{}}}",
+                items.join(","),
+                state.revision
+            );
+            ("200 OK", text)
         }
         ("GET", Some(name)) => match state.text(kind, name) {
             Some(text) => ("200 OK", text),
@@ -197,5 +221,5 @@
     };
     drop(state);
     shared.1.notify_all();
-    http::answer(stream, status, HEAD, text.as_bytes())
+    http::answer(stream, status, HEAD, &unreadable(&text))
 }
