Use only the servers of services that the configuration names

Callers: from the moment at which another writer adds entries of a service that no configuration names, with the addresses of live servers and a later start, every request is refused (no_server), at running hosts and after restarts.

Cause: Directory::insert marked a server as replaced when any other entry with its address and a later start was added. The mark was set once, and nothing took it back.

Fix: the configuration in force decides which entries name servers to use (Directory::set_services). The directory iterates over and counts only these, so that placement, weight orders, calls to engines, probes, readiness and reports leave all others out. The others are kept and copied, and are used from the configuration on that names their service. Which servers have lost their address is derived from the entries and answers that hold now, and settled again with each change, so that no mark outlives its reason.

Tests of the directory name services now, and mark_replaced takes the time and the name of the other server.

--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -232,6 +232,17 @@
         self.services.get(name)
     }
 
+    /// Returns the names of the services whose servers may run requests.
+    pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
+        let routes = self.routes.values().flatten();
+        let targets = routes.flat_map(|route| &route.targets);
+        let of_routes = targets.map(|target| &target.service);
+        let all = self.services.keys().chain(of_routes);
+        // Stores of cached parts have no servers.
+        let is_store = |name: &ServiceName| self.service(name)?.store;
+        all.filter(move |name| is_store(name).is_none())
+    }
+
     /// Returns the addresses of the stores of cached prompt parts.
     pub fn stores(&self) -> impl Iterator<Item = SocketAddr> {
         self.services.values().filter_map(|service| service.store)
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -1,5 +1,9 @@
 //! The backend servers that this host knows, by incarnation.
 //!
+//! Any writer may add entries to the store. An entry names a server to use only if the configuration in force names its
+//! service. The others are kept, since servers of a new service may register before the configuration that names it
+//! arrives, but count for nothing.
+//!
 //! A server that restarts under its old name is a new incarnation and inherits nothing from the old one. After an
 //! outage of the platform's store, missing entries are kept for a grace period, since live servers write theirs again.
 //! When the store has come back from an older copy, that copy may have entries of incarnations that are gone. Those get
@@ -7,7 +11,7 @@
 
 use std::{net::SocketAddr, num::NonZeroUsize, time::Duration};
 
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 use jaystand_types::{DataCentre, Model, Moment, ServerName, Version};
 use lru::LruCache;
 use smallvec::SmallVec;
@@ -31,6 +35,9 @@
 /// A weights update counts as ended when no report has named it for this long. The lease holder reports it several
 /// times a second.
 const UPDATE_EXPIRY: Duration = Duration::from_millis(1_200);
+/// An answer of another server at a server's address counts for this long unless the other server's entry has the address
+/// too. The users' pages state that the entry of a server that has ended is removed after three heartbeats of 1.2 s.
+const STRANGER_EXPIRY: Duration = Duration::from_secs(4);
 /// Number of gone incarnations that are remembered.
 const MAX_GONE: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
 
@@ -77,14 +84,26 @@
     pub speed: Speed,
     missing_since: Option<Moment>,
     updating_until: Option<Moment>,
-    /// Whether another server listens at its address.
-    replaced: bool,
+    /// Whether the configuration in force names its service.
+    in_use: bool,
+    /// Whether another server in use has the same address and started later.
+    displaced: bool,
+    /// The other server that answered at its address.
+    stranger: Option<Stranger>,
     /// Whether the incarnation was gone, and its entry is back only since the store came back from an older copy.
     doubted: bool,
     /// Whether it leaves or has asked for a pause.
     availability: Availability,
 }
 
+jaystand_types::common! { data
+    /// A server that answered at the address of another one.
+    struct Stranger {
+        name: ServerName,
+        answered_at: Moment,
+    }
+}
+
 jaystand_types::common! { value
     /// What an added or removed entry changed.
     pub enum Change {
@@ -92,6 +111,8 @@
         Nothing,
         /// The server is new, or runs as a new incarnation.
         Added,
+        /// The entry is new, and the configuration in force does not name its service.
+        Unused,
         /// The server leaves.
         Leaving,
         /// The server serves newer weights.
@@ -110,6 +131,12 @@
 pub struct Directory {
     servers: HashMap<ServerName, Server>,
     names: HashMap<ServerKey, ServerName>,
+    /// Names of the servers with each address.
+    addresses: HashMap<SocketAddr, SmallVec<[ServerName; 1]>>,
+    /// Services that the configuration in force names; empty before one is known.
+    services: HashSet<ServiceName>,
+    /// Number of servers in use.
+    used: usize,
     /// Until then missing entries are kept.
     grace_until: Moment,
     /// Whether the grace period began because the store came back from an older copy.
@@ -130,6 +157,9 @@
         Self {
             servers: HashMap::new(),
             names: HashMap::new(),
+            addresses: HashMap::new(),
+            services: HashSet::new(),
+            used: 0,
             grace_until: Moment::ZERO,
             restored: false,
             gone: LruCache::new(MAX_GONE),
@@ -169,7 +199,9 @@
             speed: Speed::default(),
             missing_since: None,
             updating_until: None,
-            replaced: false,
+            in_use: false,
+            displaced: false,
+            stranger: None,
             doubted: false,
             availability: Availability::default(),
         }
@@ -179,7 +211,23 @@
     /// considered.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        !self.availability.leaves() && !self.replaced && !self.doubted
+        self.in_use && !self.availability.leaves() && !self.is_replaced() && !self.doubted
+    }
+
+    /// Returns whether the configuration in force names the server's service.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        self.in_use
+    }
+
+    /// Returns whether another server listens at the server's address, as far as is known.
+    fn is_replaced(&self) -> bool {
+        self.displaced || self.stranger.is_some()
+    }
+
+    /// Returns whether the server's entry proves that servers that started earlier are no longer at its address.
+    fn holds_address(&self) -> bool {
+        self.in_use && self.stranger.is_none() && !self.doubted
     }
 
     /// Returns the end of the pause that the server asked this host for, if the pause still lasts.
@@ -237,6 +285,27 @@
         self.restored = true;
     }
 
+    /// Sets the services that the configuration in force names. Returns the number of servers that are in use now and were
+    /// not before, and of those that are no longer in use.
+    pub fn set_services(
+        &mut self,
+        services: impl IntoIterator<Item = ServiceName>,
+    ) -> (usize, usize) {
+        self.services = services.into_iter().collect();
+        let (mut added, mut dropped) = (0, 0);
+        for server in self.servers.values_mut() {
+            let in_use = self.services.contains(&server.entry.service);
+            added += usize::from(in_use && !server.in_use);
+            dropped += usize::from(!in_use && server.in_use);
+            server.in_use = in_use;
+        }
+        self.used = self.used + added - dropped;
+        if added + dropped > 0 {
+            self.settle_all_addresses();
+        }
+        (added, dropped)
+    }
+
     /// Adds an entry, or updates the known one.
     pub fn upsert(&mut self, mut entry: Entry) -> Change {
         let Some(server) = self.servers.get_mut(&entry.name) else {
@@ -259,10 +328,17 @@
             has_newer_weights |= *version > known;
             *version = known.max(*version);
         }
+        let (former, address) = (server.entry.address, entry.address);
         server.entry = entry;
         if has_newer_weights {
             server.updating_until = None;
         }
+        if former != address {
+            server.stranger = None;
+            let name = server.entry.name.clone();
+            self.leave_address(former, &name);
+            self.take_address(address, name);
+        }
         match (starts_leaving, has_newer_weights) {
             (true, _) => Change::Leaving,
             (false, true) => Change::Weights,
@@ -302,6 +378,7 @@
 
     /// Removes the servers whose entries did not return within the grace period, and returns their names.
     pub fn expire(&mut self, now: Moment) -> Vec<ServerName> {
+        self.expire_strangers(now);
         if now < self.grace_until {
             return Vec::new();
         }
@@ -309,6 +386,7 @@
             for server in self.servers.values_mut() {
                 server.doubted = false;
             }
+            self.settle_all_addresses();
         }
         let missing = |server: &&Server| server.missing_since.is_some();
         let expired: Vec<ServerName> = self
@@ -423,10 +501,42 @@
 
     /// Records that another server answered at the address of this one: this incarnation has ended, although its entry
     /// may stay for some heartbeats. Returns whether that was not known.
-    pub fn mark_replaced(&mut self, key: ServerKey) -> bool {
-        match self.get_mut(key) {
-            Some(server) => !std::mem::replace(&mut server.replaced, true),
-            None => false,
+    pub fn mark_replaced(&mut self, now: Moment, key: ServerKey, by: &str) -> bool {
+        let Some(server) = self.get_mut(key) else {
+            return false;
+        };
+        let stranger = Stranger {
+            name: by.into(),
+            answered_at: now,
+        };
+        let is_new = server.stranger.replace(stranger).is_none();
+        let address = server.entry.address;
+        self.settle_address(address);
+        is_new
+    }
+
+    /// Ends the marks of servers at whose address another one answered, if nothing else shows that the other one is there.
+    fn expire_strangers(&mut self, now: Moment) {
+        let is_expired = |server: &&Server| {
+            server.stranger.as_ref().is_some_and(|stranger| {
+                let other = self.servers.get(&stranger.name);
+                let is_there =
+                    other.is_some_and(|o| o.in_use && o.entry.address == server.entry.address);
+                !is_there && now.saturating_sub(stranger.answered_at) >= STRANGER_EXPIRY
+            })
+        };
+        let expired: Vec<ServerKey> = self
+            .servers
+            .values()
+            .filter(is_expired)
+            .map(|server| server.key)
+            .collect();
+        for key in expired {
+            if let Some(server) = self.get_mut(key) {
+                server.stranger = None;
+                let address = server.entry.address;
+                self.settle_address(address);
+            }
         }
     }
 
@@ -477,34 +587,42 @@
         }
     }
 
-    /// Iterates over all servers.
+    /// Iterates over the servers in use.
     pub fn iter(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values()
+        self.servers.values().filter(|server| server.in_use)
     }
 
-    /// Returns whether a server serves some version of a model.
+    /// Returns whether a server in use serves some version of a model.
     #[must_use]
     pub fn has_model(&self, model: &str) -> bool {
         self.iter()
             .any(|server| server.entry.version(model).is_some())
     }
 
-    /// Returns the number of servers.
+    /// Returns the number of servers in use.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.servers.len()
+        self.used
     }
 
-    /// Returns whether no server is known.
+    /// Returns whether no server is in use.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.servers.is_empty()
+        self.used == 0
+    }
+
+    /// Returns the number of entries whose service the configuration in force does not name.
+    #[must_use]
+    pub fn unused(&self) -> usize {
+        self.servers.len() - self.used
     }
 
     /// Removes a server. The archive keeps its availability.
     fn forget(&mut self, name: &str) {
         if let Some(server) = self.servers.remove(name) {
             self.names.remove(&server.key);
+            self.used -= usize::from(server.in_use);
+            self.leave_address(server.entry.address, name);
             self.gone.put(server.key, ());
             if server.limit().is_some() {
                 let name = server.entry.name.clone();
@@ -524,25 +642,56 @@
         if server.entry.leaving {
             server.availability.mark_leaving();
         }
-        // At most one process listens at an address: the one that started last.
-        for other in self.servers.values_mut() {
-            if other.entry.address != server.entry.address || other.entry.name == server.entry.name
-            {
-                continue;
-            }
-            if other.entry.started_ms < server.entry.started_ms {
-                other.replaced = true;
-            } else if other.entry.started_ms > server.entry.started_ms {
-                server.replaced = true;
-            }
-        }
-        let change = if server.doubted {
+        server.in_use = self.services.contains(&server.entry.service);
+        let change = if !server.in_use {
+            Change::Unused
+        } else if server.doubted {
             Change::Doubted
         } else {
             Change::Added
         };
-        self.names.insert(server.key, server.entry.name.clone());
-        self.servers.insert(server.entry.name.clone(), server);
+        self.used += usize::from(server.in_use);
+        let (name, address) = (server.entry.name.clone(), server.entry.address);
+        self.names.insert(server.key, name.clone());
+        self.servers.insert(name.clone(), server);
+        self.take_address(address, name);
         change
     }
+
+    fn take_address(&mut self, address: SocketAddr, name: ServerName) {
+        self.addresses.entry(address).or_default().push(name);
+        self.settle_address(address);
+    }
+
+    fn leave_address(&mut self, address: SocketAddr, name: &str) {
+        if let Some(names) = self.addresses.get_mut(&address) {
+            names.retain(|other| other != name);
+            if names.is_empty() {
+                self.addresses.remove(&address);
+            }
+        }
+        self.settle_address(address);
+    }
+
+    /// Decides which servers are displaced at an address. At most one process listens there: the one that started last.
+    fn settle_address(&mut self, address: SocketAddr) {
+        let Some(names) = self.addresses.get(&address) else {
+            return;
+        };
+        let servers = names.iter().filter_map(|name| self.servers.get(name));
+        let holders = servers.filter(|server| server.holds_address());
+        let newest = holders.map(|server| server.entry.started_ms).max();
+        for name in names {
+            if let Some(server) = self.servers.get_mut(name) {
+                server.displaced = newest.is_some_and(|newest| server.entry.started_ms < newest);
+            }
+        }
+    }
+
+    fn settle_all_addresses(&mut self) {
+        let addresses: Vec<SocketAddr> = self.addresses.keys().copied().collect();
+        for address in addresses {
+            self.settle_address(address);
+        }
+    }
 }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -566,7 +566,8 @@
 
     /// Returns whether parts may be fetched from a server.
     fn may_fetch_from(&self, now: Moment, source: &Server) -> bool {
-        !source.health.is_backing_off(now)
+        source.is_in_use()
+            && !source.health.is_backing_off(now)
             && !source.updating(now)
             && !self.may_be_cut_off(now, source)
     }
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -16,7 +16,7 @@
     weights::{Settings, Versions},
 };
 use jaystand_types::Moment;
-use support::{desk, engine, ms, prompt};
+use support::{desk, directory, engine, ms, prompt};
 
 const SLOTS: u32 = 128;
 const MEMORY: u64 = 296_579;
@@ -161,7 +161,7 @@
 impl Host {
     /// Creates a host with 9 engines of 24 slots and 3 plain servers of 6 slots.
     fn new() -> Self {
-        let mut directory = Directory::default();
+        let mut directory = directory();
         for number in 0..9 {
             directory.upsert(engine(number, 1));
         }
--- a/crates/dispatch/tests/estimate.rs
+++ b/crates/dispatch/tests/estimate.rs
@@ -425,7 +425,7 @@
 
 fn simulate_plain(hosts: usize, slowness: [f64; 3], share: f64, chooser: Chooser) -> PlainFigures {
     let mut random = Pcg64Mcg::seed_from_u64(3);
-    let mut host = Host::default();
+    let mut host = Host::new(0);
     let keys: Vec<ServerKey> = (0..3).map(|number| desk(number).key()).collect();
     for number in 0..3 {
         host.directory.upsert(desk(number));
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use support::{
-    engine,
+    directory, engine,
     fleet::{Host, Site, exchange_reports},
     ms, prompt,
 };
@@ -480,7 +480,7 @@
 }
 
 fn directory_with_limit(now: Moment, limit: Limit) -> (Directory, ServerKey) {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.set_fleet(now, limit::Fleet::new(Some(1), vec![2, 3]));
     directory.upsert(engine(0, 1));
     let notice = Notice {
@@ -578,7 +578,7 @@
 /// Guards against a change that other hosts hear late because a report holds fewer limits than servers name.
 #[test]
 fn the_newest_statements_of_limits_are_reported_first() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     for number in 0..200 {
         directory.upsert(engine(number, 1));
         let notice = Notice {
--- a/crates/dispatch/tests/notice.rs
+++ b/crates/dispatch/tests/notice.rs
@@ -9,7 +9,7 @@
     weights::{self, Age, Settings, Versions},
 };
 use jaystand_types::{Model, Moment};
-use support::{desk, engine, ms};
+use support::{desk, directory, engine, ms};
 
 fn leaving() -> Notice {
     Notice {
@@ -27,7 +27,7 @@
 
 /// A directory with one server.
 fn directory_with_server() -> (Directory, ServerKey) {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.upsert(desk(1));
     (directory, desk(1).key())
 }
@@ -63,7 +63,7 @@
 /// before it has the server's entry.
 #[test]
 fn a_server_can_be_marked_as_leaving_before_its_entry_is_known() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     let key = desk(1).key();
     assert!(directory.mark_leaving(key));
     assert!(!directory.mark_leaving(key));
@@ -134,7 +134,7 @@
 /// Guards against weight orders, and the status requests before them, to a server that asked this host for a pause.
 #[test]
 fn a_server_in_a_pause_gets_no_order() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.upsert(engine(1, 1));
     let key = engine(1, 1).key();
     let mut versions = Versions::new(Settings {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -17,7 +17,7 @@
     weights::{Age, Settings, Versions},
 };
 use jaystand_types::{DataCentre, Moment};
-use support::{desk, engine, ms, prompt};
+use support::{desk, directory, engine, ms, prompt};
 
 /// The state of one host.
 struct World {
@@ -34,7 +34,7 @@
 
 impl World {
     fn new(engines: u16) -> Self {
-        let mut directory = Directory::default();
+        let mut directory = directory();
         for number in 0..engines {
             directory.upsert(engine(number, 1));
         }
--- a/crates/dispatch/tests/state.rs
+++ b/crates/dispatch/tests/state.rs
@@ -4,18 +4,18 @@
 
 use jaystand_dispatch::{
     budget::{Budget, Settings, Sharers},
-    directory::{Change, Directory},
+    directory::Change,
     health::{Health, Outcome},
     holdings::Holdings,
     prompt::{Salt, cache_key},
 };
-use support::{engine, ms};
+use support::{directory, engine, ms};
 
 /// Guards against a restarted server that inherits the state of its earlier incarnation, and against late writes of
 /// that incarnation.
 #[test]
 fn an_incarnation_replaces_the_previous_one() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     assert_eq!(directory.upsert(engine(1, 1)), Change::Added);
     let former = directory.iter().next().expect("known").key;
     let mut restarted = engine(1, 1);
@@ -29,7 +29,7 @@
 /// Guards against an older entry that makes a leaving server usable again or resets its weights version.
 #[test]
 fn leaving_and_newer_weights_are_not_undone() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.upsert(engine(1, 2));
     let mut leaving = engine(1, 2);
     leaving.leaving = true;
@@ -53,7 +53,7 @@
         [successor.clone(), former.clone()],
     ];
     for order in orders {
-        let mut directory = Directory::default();
+        let mut directory = directory();
         for entry in order {
             directory.upsert(entry);
         }
@@ -67,11 +67,14 @@
 /// address.
 #[test]
 fn a_replaced_server_gets_no_work_until_it_restarts() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.upsert(engine(1, 1));
     let key = engine(1, 1).key();
-    assert!(directory.mark_replaced(key));
-    assert!(!directory.mark_replaced(key), "it is replaced once");
+    assert!(directory.mark_replaced(ms(0), key, "server-2"));
+    assert!(
+        !directory.mark_replaced(ms(0), key, "server-2"),
+        "it is replaced once"
+    );
     // A late write of the crashed server changes nothing.
     directory.upsert(engine(1, 2));
     assert!(!directory.get(key).expect("known").takes_work());
@@ -86,7 +89,7 @@
 /// that stay forever although their entries do not return.
 #[test]
 fn lapsed_entries_may_return_after_an_outage() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     directory.upsert(engine(1, 1));
     directory.upsert(engine(2, 1));
     directory.store_returned(ms(10_000));
@@ -103,7 +106,7 @@
 /// Guards against a leaving server that is kept because its entry was removed after an outage.
 #[test]
 fn a_leaving_server_is_not_kept_after_an_outage() {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     let mut leaving = engine(1, 1);
     leaving.leaving = true;
     directory.upsert(leaving);
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -38,7 +38,10 @@
 impl Host {
     /// Creates a host that knows this number of engines.
     pub fn new(engines: u16) -> Self {
-        let mut host = Self::default();
+        let mut host = Self {
+            directory: super::directory(),
+            ..Self::default()
+        };
         for number in 0..engines {
             host.directory.upsert(engine(number, 1));
         }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 use compact_str::format_compact;
 use jaystand_dispatch::{
-    directory::Entry,
+    directory::{Directory, Entry},
     prompt::{Part, Prompt},
 };
 use jaystand_types::Model;
@@ -22,6 +22,13 @@
     SocketAddr::from(([10, 0, 0, 1], 9_000 + number))
 }
 
+/// A directory whose configuration names the services `lm` and `desk`.
+pub fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.set_services(["lm".into(), "desk".into()]);
+    directory
+}
+
 /// An engine of the service `lm` with 24 slots.
 pub fn engine(number: u16, version: u64) -> Entry {
     Entry {
--- a/crates/dispatch/tests/weights.rs
+++ b/crates/dispatch/tests/weights.rs
@@ -9,7 +9,7 @@
     weights::{self, Age, Runs, Settings, Sighting, Versions},
 };
 use jaystand_types::Model;
-use support::{engine, ms};
+use support::{directory, engine, ms};
 
 const SETTINGS: Settings = Settings {
     preferred_after: Duration::from_millis(1_300),
@@ -116,7 +116,7 @@
 }
 
 fn fleet(count: u16, version: u64) -> Directory {
-    let mut directory = Directory::default();
+    let mut directory = directory();
     for number in 0..count {
         directory.upsert(engine(number, version));
     }
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -57,8 +57,9 @@
         if head.not_run {
             self.possible_runs -= 1;
             let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-            if misdirected && head.server.as_ref().is_some_and(|s| *s != self.server_name) {
-                self.hub.mark_replaced(server, "answer");
+            let other = head.server.as_ref().filter(|s| **s != self.server_name);
+            if let Some(other) = other.filter(|_| misdirected) {
+                self.hub.mark_replaced(server, other);
             }
             // A 421 of the intended server means that its weights have changed. Any other 421 means that the server is
             // no longer at its address.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -381,6 +381,14 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         let former = state.config.clone();
         quota::set_limits(self, &mut state.quotas, former.as_deref(), &config);
+        let (added, dropped) = state
+            .directory
+            .set_services(config.service_names().cloned());
+        if added + dropped > 0 {
+            log::info!(version, added, dropped; "servers in use changed with the configuration");
+            self.weights_changed.notify_one();
+        }
+        self.count_servers(&state.directory);
         state.config = Some(Arc::new(config));
         state.config_text = Some(Rc::from(text.to_owned()));
         state.entries.record_config_change();
@@ -403,9 +411,7 @@
         let address = entry.address;
         let former_limit = state.directory.limit_of(name).map(Rate::per_second);
         let change = state.directory.upsert(entry);
-        self.metrics
-            .servers
-            .set(i64::try_from(state.directory.len()).unwrap_or(i64::MAX));
+        self.count_servers(&state.directory);
         if change != Change::Nothing {
             let change = change_name(change);
             log::info!(server = name.as_str(), change, leaving, address:% = address,
@@ -414,11 +420,18 @@
         }
     }
 
+    fn count_servers(&self, directory: &Directory) {
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        self.metrics.servers.set(count(directory.len()));
+        self.metrics.unused_entries.set(count(directory.unused()));
+    }
+
     /// Records that a server's entry is gone from the store.
     pub(crate) fn remove_server(&self, name: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let change = state.directory.remove(now, name);
+        self.count_servers(&state.directory);
         if change == Change::Removed {
             state.entries.remove_server(name);
             self.metrics.forget_server(name);
@@ -481,10 +494,11 @@
     }
 
     /// Marks a server as gone because another server answered at its address.
-    pub(crate) fn mark_replaced(&self, server: ServerKey, source: &str) {
+    pub(crate) fn mark_replaced(&self, server: ServerKey, answered_by: &str) {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        if state.directory.mark_replaced(server) {
-            log::info!(server = state.directory.name(server), source;
+        if state.directory.mark_replaced(now, server, answered_by) {
+            log::info!(server = state.directory.name(server), answered_by;
                 "another server listens at its address; the server is gone");
         }
     }
@@ -875,6 +889,7 @@
     match change {
         Change::Nothing => "nothing",
         Change::Added => "added",
+        Change::Unused => "added without use: the configuration does not name its service",
         Change::Leaving => "leaving",
         Change::Weights => "weights",
         Change::Removed => "removed",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,8 +54,10 @@
     pub(crate) store_era: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
-    /// Known servers.
+    /// Servers in use.
     pub(crate) servers: IntGauge,
+    /// Entries of services that the configuration does not name.
+    pub(crate) unused_entries: IntGauge,
     /// Hosts that report.
     pub(crate) peers: IntGauge,
     /// Requests in flight at servers, by service and measure.
@@ -111,6 +113,16 @@
     Ok(server_load)
 }
 
+fn register_latency(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::new(
+        "jaystand_first_byte_seconds",
+        "Time from a request's head to its answer or first event.",
+    );
+    let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["kind"])?;
+    registry.register(Box::new(latency.clone()))?;
+    Ok(latency)
+}
+
 impl Metrics {
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
@@ -119,33 +131,30 @@
             registry.register(Box::new(counters.clone()))?;
             Ok::<_, prometheus::Error>(counters)
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
         let server_load = register_server_load(&registry)?;
-        let options = HistogramOpts::new(
-            "jaystand_first_byte_seconds",
-            "Time from a request's head to its answer or first event.",
-        );
-        let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["kind"])?;
-        registry.register(Box::new(latency.clone()))?;
-        let dropped_lines = IntCounter::new(
+        let latency = register_latency(&registry)?;
+        let dropped_lines = counter(
             "jaystand_log_lines_dropped_total",
             "Log lines dropped to bound their number.",
         )?;
-        registry.register(Box::new(dropped_lines.clone()))?;
-        let diverged_copies = IntCounter::new(
+        let diverged_copies = counter(
             "jaystand_diverged_copies_total",
             "Complete copies asked for because servers differed from those of the followed host.",
         )?;
-        registry.register(Box::new(diverged_copies.clone()))?;
-        let panics = IntCounter::new(
+        let panics = counter(
             "jaystand_panics_total",
             "Panics of parts of the process, which started again.",
         )?;
-        registry.register(Box::new(panics.clone()))?;
         Ok(Self {
             requests: counters(
                 "jaystand_requests_total",
@@ -201,7 +210,11 @@
                 "Era of the store; it rises when the store comes back from an older copy.",
             )?,
             config_version: gauge("jaystand_config_version", "Configuration in force.")?,
-            servers: gauge("jaystand_servers", "Known backend servers.")?,
+            servers: gauge("jaystand_servers", "Backend servers in use.")?,
+            unused_entries: gauge(
+                "jaystand_unused_entries",
+                "Entries of services that the configuration does not name.",
+            )?,
             peers: gauge("jaystand_peers", "Hosts that report.")?,
             waiting: waiting::Metrics::new(&registry)?,
             server_load,
