Remove a server whose entry is replaced by one that cannot be used

Callers: a server at whose address another entry claimed a later server stays out of use after that entry was replaced by one that cannot be used, at hosts that watch. A list removes such a server at once, a watch never did.

Cause: an entry that could not be decoded was skipped, and the former one under its name stayed in force, although it names no server any more.

Fix: where the name of such an entry can be read, its server is removed as if the entry were gone, in watches as in lists and copies.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -367,7 +367,14 @@
 fn adopt_change(hub: &Hub, kind: Kind, change: &Change, sighting: Sighting) {
     match (kind, change) {
         (_, Change::Written(object)) => adopt_object(hub, kind, object, sighting),
-        (Kind::Servers, Change::Removed(name)) => hub.remove_server(name),
+        // An entry that cannot be read names no server.
+        (Kind::Servers, Change::Removed(name) | Change::Unreadable(name)) => {
+            hub.remove_server(name);
+        }
+        (Kind::Config | Kind::Weights, Change::Unreadable(name)) => {
+            log::warn!(feed = kind.as_str(), name = name.as_str();
+                "the object cannot be read any more; what it said stays in force");
+        }
         (Kind::Config | Kind::Weights, Change::Removed(name)) => {
             log::warn!(feed = kind.as_str(), name = name.as_str();
                 "the object was removed from the store, but stays in force");
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -394,6 +394,7 @@
             Ok(entry) => entry,
             Err(error) => {
                 log::warn!(server = name.as_str(); "the server's entry cannot be used: {error}");
+                self.remove_server(name);
                 return;
             }
         };
