--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod relay;
 mod reply;
 mod run;
+mod servers;
 mod settings;
 mod socket;
 mod store;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -25,11 +25,12 @@
 
 use crate::{
     clock, copy, feed,
-    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, log_limit_change, whole_ms},
+    hub::{Host, Hub, MAX_PEER_REPORT_AGE, State, host_id, whole_ms},
     message::{
         Group, LeaseEntry, LimitEntry, Loads, Parts, Report, Scope, SpeedEntry, WeightsEntry,
     },
     quota,
+    servers::log_limit_change,
     suspect::{SuspicionEntry, apply_suspicions, compose_suspicions, count_suspected},
     updates,
 };
