Name the server at another one's address its occupant, and look up versions in one place

Read as a newcomer: "stranger" is no term of the field, and three places wrote the search for a model's version again. Behaviour is unchanged.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -37,7 +37,7 @@
 const UPDATE_EXPIRY: Duration = Duration::from_millis(1_200);
 /// An answer of another server at a server's address counts for this long unless the other server's entry has the address
 /// too. The users' pages state that the entry of a server that has ended is removed after three heartbeats of 1.2 s.
-const STRANGER_EXPIRY: Duration = Duration::from_secs(4);
+const OCCUPANT_EXPIRY: Duration = Duration::from_secs(4);
 /// Number of gone incarnations that are remembered.
 const MAX_GONE: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
 
@@ -93,7 +93,7 @@
     /// Whether another server in use has the same address and started later.
     displaced: bool,
     /// The other server that answered at its address.
-    stranger: Option<Stranger>,
+    occupant: Option<Occupant>,
     /// Whether the incarnation was gone, and its entry is back only since the store came back from an older copy.
     doubted: bool,
     /// Whether it leaves or has asked for a pause.
@@ -102,7 +102,7 @@
 
 jaystand_types::common! { data
     /// A server that answered at the address of another one.
-    struct Stranger {
+    struct Occupant {
         name: ServerName,
         answered_at: Moment,
     }
@@ -186,8 +186,7 @@
     /// Returns the weights version that the server serves of a model.
     #[must_use]
     pub fn version(&self, model: &str) -> Option<Version> {
-        let found = self.weights.iter().find(|(name, _)| name == model);
-        found.map(|(_, version)| *version)
+        find_version(&self.weights, model)
     }
 }
 
@@ -206,7 +205,7 @@
             updating: SmallVec::new(),
             in_use: false,
             displaced: false,
-            stranger: None,
+            occupant: None,
             doubted: false,
             availability: Availability::default(),
         }
@@ -227,12 +226,12 @@
 
     /// Returns whether another server listens at the server's address, as far as is known.
     fn is_replaced(&self) -> bool {
-        self.displaced || self.stranger.is_some()
+        self.displaced || self.occupant.is_some()
     }
 
     /// Returns whether the server's entry proves that servers that started earlier are no longer at its address.
     fn holds_address(&self) -> bool {
-        self.in_use && self.stranger.is_none() && !self.doubted
+        self.in_use && self.occupant.is_none() && !self.doubted
     }
 
     /// Returns the end of the pause that the server asked this host for, if the pause still lasts.
@@ -354,8 +353,7 @@
         let mut has_newer_weights = false;
         let former_written = std::mem::take(&mut server.written);
         for (model, version) in &mut entry.weights {
-            let mut written = former_written.iter().filter(|(known, _)| known == model);
-            let written = written.next().map_or(0, |(_, version)| *version);
+            let written = find_version(&former_written, model).unwrap_or(0);
             server.written.push((model.clone(), written.max(*version)));
             let known = server.entry.version(model).unwrap_or(0);
             if *version > known {
@@ -367,7 +365,7 @@
         let (former, address) = (server.entry.address, entry.address);
         server.entry = entry;
         if former != address {
-            server.stranger = None;
+            server.occupant = None;
             let name = server.entry.name.clone();
             self.leave_address(former, &name);
             self.take_address(address, name);
@@ -411,7 +409,7 @@
 
     /// Removes the servers whose entries did not return within the grace period, and returns their names.
     pub fn expire(&mut self, now: Moment) -> Vec<ServerName> {
-        self.expire_strangers(now);
+        self.expire_occupants(now);
         if now < self.grace_until {
             return Vec::new();
         }
@@ -538,24 +536,24 @@
         let Some(server) = self.get_mut(key) else {
             return false;
         };
-        let stranger = Stranger {
+        let occupant = Occupant {
             name: by.into(),
             answered_at: now,
         };
-        let is_new = server.stranger.replace(stranger).is_none();
+        let is_new = server.occupant.replace(occupant).is_none();
         let address = server.entry.address;
         self.settle_address(address);
         is_new
     }
 
     /// Ends the marks of servers at whose address another one answered, if nothing else shows that the other one is there.
-    fn expire_strangers(&mut self, now: Moment) {
+    fn expire_occupants(&mut self, now: Moment) {
         let is_expired = |server: &&Server| {
-            server.stranger.as_ref().is_some_and(|stranger| {
-                let other = self.servers.get(&stranger.name);
+            server.occupant.as_ref().is_some_and(|occupant| {
+                let other = self.servers.get(&occupant.name);
                 let is_there =
                     other.is_some_and(|o| o.in_use && o.entry.address == server.entry.address);
-                !is_there && now.saturating_sub(stranger.answered_at) >= STRANGER_EXPIRY
+                !is_there && now.saturating_sub(occupant.answered_at) >= OCCUPANT_EXPIRY
             })
         };
         let expired: Vec<ServerKey> = self
@@ -566,7 +564,7 @@
             .collect();
         for key in expired {
             if let Some(server) = self.get_mut(key) {
-                server.stranger = None;
+                server.occupant = None;
                 let address = server.entry.address;
                 self.settle_address(address);
             }
@@ -591,8 +589,7 @@
         stated: Option<Version>,
     ) -> Option<Version> {
         let server = self.get_mut(key)?;
-        let mut written = server.written.iter().filter(|(known, _)| known == model);
-        let written = written.next().map_or(0, |(_, version)| *version);
+        let written = find_version(&server.written, model).unwrap_or(0);
         let present = stated.unwrap_or(0).max(written);
         if present > expected {
             return server.raise_version(model, present).then_some(present);
@@ -741,3 +738,8 @@
         }
     }
 }
+
+fn find_version(weights: &[(Model, Version)], model: &str) -> Option<Version> {
+    let found = weights.iter().find(|(name, _)| name == model);
+    found.map(|(_, version)| *version)
+}
--- a/crates/dispatch/tests/services.rs
+++ b/crates/dispatch/tests/services.rs
@@ -136,7 +136,7 @@
 
 /// Guards against a server that is never used again because of one answer, whose sender is unknown, at its address.
 #[test]
-fn the_mark_of_an_unknown_stranger_ends() {
+fn the_mark_by_an_unknown_occupant_ends() {
     let mut directory = directory();
     let key = engine(1, 1).key();
     directory.upsert(engine(1, 1));
